--- /dev/null
+++ b/crates/coralstep-adapter/src/terms.rs
@@ -0,0 +1,141 @@
+//! What `BOOT` tells, in coralstep's words and units.
+use std::collections::HashMap;
+
+use coralstep::{Advert, Below, Effect, Method, Preemption, Span, Terms};
+
+use crate::NS_PER_TICK;
+use crate::fields::{Fields, amount, flag, parse};
+
+/// Names whose order other messages go by.
+#[derive(Debug, Default)]
+pub struct Names {
+    pub methods: Vec<String>,
+    pub tenants: Vec<String>,
+    pub gauges: Vec<String>,
+}
+
+struct Conf<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> Conf<'a> {
+    fn text(&self, path: &str) -> &'a str {
+        self.0.get(path).copied().unwrap_or("")
+    }
+
+    fn amount(&self, path: &str) -> Result<f64, String> {
+        self.0.get(path).map_or(Ok(0.0), |value| amount(path, value))
+    }
+
+    fn flag(&self, path: &str) -> Result<bool, String> {
+        self.0.get(path).map_or(Ok(false), |value| flag(path, value))
+    }
+
+    fn ns(&self, path: &str) -> Result<u64, String> {
+        self.0.get(path).map_or(Ok(0), |value| parse(path, value))
+    }
+
+    fn down(&self, path: &str) -> Result<Span, String> {
+        Ok(Span(self.ns(path)? / NS_PER_TICK))
+    }
+
+    fn up(&self, path: &str) -> Result<Span, String> {
+        Ok(Span(self.ns(path)?.div_ceil(NS_PER_TICK)))
+    }
+
+    /// The value that a comma list states for one class.
+    fn of_class(&self, path: &str, index: usize) -> Option<&'a str> {
+        self.text(path).split(',').nth(index).filter(|value| !value.is_empty())
+    }
+
+    fn method(&self, index: usize, calls_below: bool) -> Result<Method, String> {
+        let at = |key: &str| format!("classes.{index}.{key}");
+        let effect = match self.text(&at("idempotency")) {
+            "repeatable" | "" => Effect::Idempotent,
+            "by_key" => Effect::Tokened,
+            "once" => Effect::NonIdempotent,
+            other => return Err(format!("{}={other} is unknown", at("idempotency"))),
+        };
+        let calls = match self.of_class("domain.calls_by_class", index) {
+            Some(value) => flag("domain.calls_by_class", value)?,
+            None => true,
+        };
+        let skip = match self.of_class("domain.class_skip_worth", index) {
+            Some(value) => amount("domain.class_skip_worth", value)?,
+            None => 0.0,
+        };
+        Ok(Method {
+            effect,
+            target: self.down(&at("promise"))?,
+            deadline: self.down(&at("deadline"))?,
+            window: self.up(&at("window"))?,
+            criticality: self.amount(&at("worth"))?,
+            late: self.amount(&at("late_worth"))?,
+            skip,
+            calls: calls && calls_below,
+        })
+    }
+}
+
+pub fn read(fields: &Fields) -> Result<(Terms, Names), String> {
+    let conf = Conf(fields.pairs().collect());
+    let below = match conf.text("domain.depends_on") {
+        "shared" => Below::Shared(conf.amount("domain.call_share")?),
+        "tier" => Below::Tier,
+        "off" | "" => Below::Nothing,
+        other => return Err(format!("domain.depends_on={other} is unknown")),
+    };
+    let advert = match conf.text("domain.advert") {
+        "level" => Advert::Level,
+        "credit" => Advert::Credit,
+        "weight" => Advert::Weight,
+        "off" | "" => Advert::Off,
+        other => return Err(format!("domain.advert={other} is unknown")),
+    };
+    let preemption = match conf.text("domain.preemption") {
+        "drop" => Preemption::Drop,
+        "pause" => Preemption::Pause,
+        "off" | "" => Preemption::Off,
+        other => return Err(format!("domain.preemption={other} is unknown")),
+    };
+    let mut names = Names {
+        gauges: conf.text("domain.gauges").split(',').map(str::to_owned).collect(),
+        ..Names::default()
+    };
+    let mut terms = Terms {
+        over_share: conf.amount("over_share_worth")?,
+        cores: conf.amount("domain.cores")? as u32,
+        memory_kb: conf.amount("domain.memory_kb")?,
+        run_factor: conf.amount("domain.run_factor")?,
+        key_kb: conf.amount("domain.key_kb")?,
+        cold: conf.flag("domain.fresh_start")?,
+        cold_speed: conf.amount("safety.cold_from")?,
+        warm_after: conf.up("safety.warm_after")?,
+        survivable_crowd: conf.amount("safety.fall_multiple")?,
+        answer_slack: conf.down("safety.answer_slack")?,
+        drain_grace: conf.down("safety.drain_grace")?,
+        below,
+        linger: conf.up("domain.linger")?,
+        calls_over: conf.down("domain.calls_over")?,
+        callers: conf.amount("domain.callers")? as u32,
+        advert,
+        preemption,
+        max_advice: conf.down("limits.max_retry_after")?,
+        marks_retries: conf.flag("clients.marks_retry")?,
+        worth_by_work: conf.text("worth_by") == "work",
+        goal: [
+            conf.amount("goal.whole")?,
+            conf.amount("goal.worst_class")?,
+            conf.amount("goal.worst_tenant")?,
+        ],
+        ..Terms::default()
+    };
+    for index in 0..conf.ns("classes.count")? as usize {
+        names.methods.push(conf.text(&format!("classes.{index}.name")).to_owned());
+        terms.methods.push(conf.method(index, below != Below::Nothing)?);
+    }
+    let fleet = conf.amount("group_size")?.max(1.0);
+    for index in 0..conf.ns("realms.count")? as usize {
+        names.tenants.push(conf.text(&format!("realms.{index}.name")).to_owned());
+        terms.tenant_rates.push(conf.amount(&format!("realms.{index}.quota_rps"))? / fleet);
+    }
+    Ok((terms, names))
+}
