--- a/crates/coralstep-adapter/src/main.rs
+++ b/crates/coralstep-adapter/src/main.rs
@@ -82,7 +82,7 @@
                 let took = fields.span_up("latency")?.unwrap_or_default();
                 instance.tell(self.now_ns, &mut self.reply, |server, out| match word {
                     "CALLED" => server.called(now, rpc, outcome, took, out),
-                    _ => server.settled(now, rpc, outcome, took, out),
+                    _ => server.settled(now, rpc, outcome, out),
                 });
             }
             "WANTS_CALL" => {
--- a/crates/coralstep/src/lib.rs
+++ b/crates/coralstep/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 mod choice;
 mod door;
+mod site;
 
 pub use choice::Server;
 pub use door::*;
