--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -7,7 +7,7 @@
 use nanorand::Rng;
 
 use crate::door::*;
-use crate::site::{Place, Rpc, Site, Tally};
+use crate::site::{Place, Rpc, Site, State, Tally, greatest};
 
 /// Between two timers. The finest delay of a limit; 50 a second cost next to no CPU.
 const BEAT: Span = Span::ms(20);
@@ -40,6 +40,8 @@
 const SHARE_FIRST: f64 = 0.5;
 const SHARE_LEAST: f64 = 0.25;
 const SHARE_MOST: f64 = 0.75;
+/// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
+const CALLS_KNOWN: u64 = 40;
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
 /// Part of the latency target that an RPC may be held: the other half is for running.
@@ -85,10 +87,6 @@
 }
 
 impl Site {
-    fn method(&self, rpc: &Rpc) -> Method {
-        self.methods[rpc.method]
-    }
-
     /// A final answer; what has run with an effect is never pushed back.
     fn push_back(&mut self, id: RpcId, after: Span, out: &mut dyn Outlet) {
         let Some(rpc) = self.get(id) else { return };
@@ -107,15 +105,6 @@
         }
     }
 
-    /// Held work is over with its answer; started work only when it settles.
-    fn answered(&mut self, id: RpcId) {
-        let Some(rpc) = self.get_mut(id) else { return };
-        rpc.answered = true;
-        if matches!(rpc.place, Place::Held | Place::Replaying) {
-            self.put(id, Place::Over);
-        }
-    }
-
     /// The usual time on the cores.
     fn run_time(&self, rpc: &Rpc) -> Span {
         self.runs[rpc.method].mean(RUN_GUESS)
@@ -148,7 +137,6 @@
 struct Repeats {
     key_kb: f64,
     kept: usize,
-    memory_kb: f64,
 }
 
 impl Repeats {
@@ -158,15 +146,7 @@
             return Step::Pass;
         }
         let until = rpc.arrived + site.method(rpc).window + TOKEN_EXTRA;
-        let mut earlier = prior;
-        while let Prior::Of(old) = earlier {
-            match site.get(old).map(|old| (old.ran, old.heir)) {
-                Some((false, Some(heir))) => earlier = Prior::Of(heir),
-                Some(_) => break,
-                None => earlier = Prior::Forgotten,
-            }
-        }
-        let never_ran = match earlier {
+        let never_ran = match site.latest(prior) {
             Prior::Nothing => None,
             Prior::Of(old) if site.get(old).is_some_and(|old| !old.ran) => Some(old),
             _ => {
@@ -177,8 +157,8 @@
             }
         };
         if never_ran.and_then(|old| site.get_mut(old)?.token_until.take()).is_none() {
-            if site.used_kb + self.key_kb > self.memory_kb * MEMORY_RUN
-                || (self.kept + 1) as f64 * self.key_kb > self.memory_kb * MEMORY_TOKENS
+            if site.used_kb + self.key_kb > site.memory_kb * MEMORY_RUN
+                || (self.kept + 1) as f64 * self.key_kb > site.memory_kb * MEMORY_TOKENS
             {
                 // Guards against two runs of an RPC that could not be told from its repeat.
                 site.push_back(id, ADVICE, out);
@@ -213,7 +193,6 @@
 
 /// The rules that no other stage keeps: memory, the drain, and a server that stands still.
 struct Guard {
-    memory_kb: f64,
     grace: Span,
     max_advice: Span,
     noticed: Option<Time>,
@@ -227,7 +206,7 @@
         let late = self.noticed.is_some_and(|noticed| rpc.arrived + BEAT > noticed + self.grace);
         if late || stalled || self.stopping(site.now) {
             site.push_back(id, self.max_advice, out);
-        } else if site.used_kb > self.memory_kb * MEMORY_HOLD {
+        } else if site.used_kb > site.memory_kb * MEMORY_HOLD {
             site.push_back(id, ADVICE, out);
         } else {
             return Step::Pass;
@@ -253,18 +232,15 @@
 
     /// The most valuable of those that `may` start.
     fn best(&self, site: &Site, may: impl Fn(&Rpc) -> bool) -> Option<RpcId> {
-        let values = self.held.iter().filter_map(|id| {
-            let rpc = site.get(*id).filter(|rpc| may(rpc))?;
-            Some((site.value(rpc), *id))
-        });
-        values.reduce(|best, next| if next.0 > best.0 { next } else { best }).map(|(_, id)| id)
+        let able = |id: &RpcId| site.get(*id).filter(|rpc| may(rpc)).map(|rpc| (site.value(rpc), *id));
+        greatest(self.held.iter().filter_map(able))
     }
 
     /// The longest part of its limit that any of them has waited.
     fn waited(&self, site: &Site) -> f64 {
-        let part =
-            |rpc: &Rpc| (site.now - rpc.arrived).0 as f64 / Hold::limit(&site.method(rpc)).0.max(1) as f64;
-        self.held.iter().filter_map(|id| site.get(*id)).map(part).fold(0.0, f64::max)
+        let limit = |rpc: &Rpc| Hold::limit(&site.method(rpc)).0.max(1) as f64;
+        let part = |id: &RpcId| site.get(*id).map(|rpc| (site.now - rpc.arrived).0 as f64 / limit(rpc));
+        self.held.iter().filter_map(part).fold(0.0, f64::max)
     }
 }
 
@@ -308,6 +284,7 @@
 }
 
 /// Calls in hand, and what waits to make one.
+#[derive(Default)]
 struct Bulkhead {
     permits: f64,
     /// This server's part of what a shared dependency survives.
@@ -318,9 +295,8 @@
     /// Permit time not used yet, in permits x ticks.
     credit: f64,
     counted: Time,
-    /// Recent and best time of a call, in ticks.
-    recent: f64,
-    best: f64,
+    /// The best usual time of a call, in ticks; 0 before the first.
+    best: u64,
 }
 
 impl Bulkhead {
@@ -344,7 +320,7 @@
     fn next(&self, site: &Site) -> Option<RpcId> {
         let waiting =
             self.waiting.iter().filter_map(|id| Some((site.method(site.get(*id)?).criticality, *id)));
-        waiting.reduce(|best, next| if next.0 > best.0 { next } else { best }).map(|(_, id)| id)
+        greatest(waiting)
     }
 
     /// Guards against work that would only end in a line for permits.
@@ -353,46 +329,30 @@
         self.waiting.len() as f64 > (self.permits * PERMIT_LINE.0 as f64 / each).max(1.0)
     }
 
-    fn result(&mut self, site: &Site, took: Span, outcome: Outcome) {
+    fn left(&mut self, site: &Site, abandoned: bool) {
         self.in_hand(site);
-        if outcome == Outcome::TimedOut && self.linger > Span::ZERO {
+        if abandoned && self.linger > Span::ZERO {
             self.lingering.push(site.now + self.linger);
         }
-        if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
-            let took = took.0 as f64;
-            self.recent = if self.recent == 0.0 { took } else { self.recent * 0.9 + took * 0.1 };
-            self.best = if self.best == 0.0 { self.recent } else { self.best.min(self.recent) };
-        }
     }
 
     /// Guards against a shared dependency that all crowd: it slows long before it falls.
-    fn review(&mut self, site: &Site) {
+    fn review(&mut self, site: &mut Site) {
+        if site.calls.seen() > CALLS_KNOWN {
+            site.calls.halve();
+        }
         let Some(share) = self.share else { return };
         self.in_hand(site);
-        let next =
-            if self.recent > self.best * CROWDED { self.permits * 0.95 } else { self.permits + share * 0.01 };
+        let usual = site.calls.mean(Span(self.best)).0;
+        self.best = if self.best == 0 { usual } else { self.best.min(usual) };
+        let crowded = usual as f64 > self.best as f64 * CROWDED;
+        let next = if crowded { self.permits * 0.95 } else { self.permits + share * 0.01 };
         self.permits = next.clamp(share * SHARE_LEAST, share * SHARE_MOST);
     }
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum State {
-    Closed,
-    Open { until: Time },
-    HalfOpen { trial: Option<RpcId> },
-}
-
-impl State {
-    fn name(self) -> &'static str {
-        match self {
-            State::Closed => "closed",
-            State::Open { .. } => "open",
-            State::HalfOpen { .. } => "half-open",
-        }
-    }
-}
-
 /// The breaker of the one dependency.
+#[derive(Default)]
 struct Breaker {
     state: State,
     /// The last outcomes, a bit each, 1 for a failure.
@@ -459,13 +419,6 @@
         let part = 0.75 + 0.25 * f64::from(site.chance.generate::<u32>()) / f64::from(u32::MAX);
         self.turn(site, State::Open { until: site.now + self.cooldown.share(part) }, out);
     }
-
-    /// A trial whose RPC ended first decides nothing; the next call is the trial.
-    fn lost(&mut self, id: RpcId) {
-        if self.state == (State::HalfOpen { trial: Some(id) }) {
-            self.state = State::HalfOpen { trial: None };
-        }
-    }
 }
 
 pub struct Server {
@@ -478,7 +431,6 @@
     breaker: Breaker,
     advert: Advert,
     callers: f64,
-    said: Option<f64>,
     shed: f64,
     reviewed: Time,
     halved: Time,
@@ -491,14 +443,13 @@
             Below::Shared(share) if share > 0.0 => Some(share),
             _ => None,
         };
-        let memory_kb = if terms.memory_kb > 0.0 { terms.memory_kb } else { f64::MAX };
         let warm_after = if terms.cold { terms.warm_after } else { Span::ZERO };
         let (grace, max_advice) = (terms.drain_grace, terms.max_advice);
         out.timer(BEAT);
         Server {
             site: Site::new(terms, seed, now),
-            repeats: Repeats { key_kb: terms.key_kb, kept: 0, memory_kb },
-            guard: Guard { memory_kb, grace, max_advice, noticed: None, stop: Time(u64::MAX) },
+            repeats: Repeats { key_kb: terms.key_kb, kept: 0 },
+            guard: Guard { grace, max_advice, noticed: None, stop: Time(u64::MAX) },
             hold: Hold::default(),
             cores: Cores {
                 cores,
@@ -514,17 +465,12 @@
                 permits: share.map_or(cores as f64, |share| share * SHARE_FIRST),
                 share,
                 linger: share.map_or(Span::ZERO, |_| terms.linger),
-                lingering: Vec::new(),
-                waiting: Vec::new(),
-                credit: 0.0,
                 counted: now,
-                recent: 0.0,
-                best: 0.0,
+                ..Bulkhead::default()
             },
-            breaker: Breaker { state: State::Closed, window: 0, seen: 0, cooldown: COOLDOWN, since: now },
+            breaker: Breaker { cooldown: COOLDOWN, since: now, ..Breaker::default() },
             advert: terms.advert,
             callers: f64::from(terms.callers.max(1)),
-            said: None,
             shed: 0.0,
             reviewed: now,
             halved: now,
@@ -536,42 +482,34 @@
         let (site, id) = (&mut self.site, arrival.id);
         site.now = now;
         site.arrive(&arrival);
-        let mut step = self.repeats.enter(site, id, arrival.prior, out);
+        let step = match self.repeats.enter(site, id, arrival.prior, out) {
+            Step::Pass => self.guard.enter(site, id, self.cores.stalled, out),
+            step => step,
+        };
         if matches!(step, Step::Pass) {
-            step = self.guard.enter(site, id, self.cores.stalled, out);
-        }
-        match step {
-            Step::Pass => self.hold.held.push(id),
-            Step::Keep => {}
-            Step::End => self.close(id, out),
+            self.hold.held.push(id);
         }
+        self.close(id, out);
         self.pump(out);
     }
 
     /// A run or a replay came to its end.
     pub fn settled(&mut self, now: Time, id: RpcId, outcome: Outcome, out: &mut dyn Outlet) {
         self.site.now = now;
-        let Some(place) = self.site.get(id).map(|rpc| rpc.place).filter(|place| *place != Place::Over) else {
-            return;
-        };
+        let Some(place) = self.site.get(id).map(|rpc| rpc.place) else { return };
         if place == Place::Calling {
-            self.bulkhead.result(&self.site, Span::ZERO, Outcome::Cancelled);
-            self.bulkhead.lingering.push(now + self.bulkhead.linger);
-            self.breaker.lost(id);
+            self.bulkhead.left(&self.site, true);
+            // A trial whose RPC ended first decides nothing; the next call is the trial.
+            if self.breaker.state == (State::HalfOpen { trial: Some(id) }) {
+                self.breaker.state = State::HalfOpen { trial: None };
+            }
         }
         self.site.put(id, Place::Over);
-        let Some(rpc) = self.site.get(id) else { return };
-        let (method, tenant, took) = (rpc.method, rpc.tenant, rpc.on_cores);
-        let in_time = !rpc.answered && now - rpc.arrived <= self.site.method(rpc).target;
         if place == Place::Running {
             self.cores.moved = now;
-            if outcome == Outcome::Ok {
-                self.site.runs[method].add(took);
-            }
         }
-        if outcome == Outcome::Ok && in_time {
-            self.site.asked[method].ok += 1.0;
-            tenant.inspect(|tenant| self.site.tenants[*tenant].ok += 1.0);
+        if outcome == Outcome::Ok {
+            self.site.record(id, place);
         }
         match outcome {
             Outcome::Ok | Outcome::Error => self.site.answered(id),
@@ -605,7 +543,7 @@
             self.site.calls.add(took);
         }
         self.breaker.result(&mut self.site, id, now - took, !ok, out);
-        self.bulkhead.result(&self.site, took, outcome);
+        self.bulkhead.left(&self.site, outcome == Outcome::TimedOut);
         self.site.put(id, if ok { Place::Running } else { Place::Waiting });
         if !ok && !answered {
             if again && calls < CALLS_EACH {
@@ -654,7 +592,7 @@
         }
         if now - self.reviewed >= REVIEW {
             self.reviewed = now;
-            self.bulkhead.review(&self.site);
+            self.bulkhead.review(&mut self.site);
             self.advertise(out);
         }
         self.pump(out);
@@ -756,17 +694,13 @@
             }
             self.bulkhead.waiting.retain(|waiting| *waiting != id);
             self.site.put(id, Place::Calling);
-            if let Some(rpc) = self.site.get_mut(id) {
-                rpc.calls += 1;
-            }
-            if let Some(rpc) = self.site.get(id) {
-                out.call(id, self.patience(rpc));
-            }
+            let patience = self.site.get(id).map_or(Span::ZERO, |rpc| self.patience(rpc));
+            out.call(id, patience);
         }
         while self.cores.room(&self.site) {
             // Nothing is begun that would only end at an open breaker.
             let shut = self.breaker.shut(self.site.now).is_some() || self.bulkhead.crowded(&self.site);
-            let room_kb = self.guard.memory_kb * MEMORY_RUN - self.site.used_kb;
+            let room_kb = self.site.memory_kb * MEMORY_RUN - self.site.used_kb;
             let factor = self.site.run_factor - 1.0;
             let site = &self.site;
             let may = |rpc: &Rpc| {
@@ -776,9 +710,6 @@
             let Some(id) = self.hold.best(site, may) else { break };
             self.hold.held.retain(|held| *held != id);
             self.site.put(id, Place::Running);
-            if let Some(rpc) = self.site.get_mut(id) {
-                rpc.ran = true;
-            }
             out.admit(id);
         }
     }
@@ -795,10 +726,6 @@
             Advert::Weight => open,
             Advert::Credit => open * self.cores.cores as f64 * CREDIT / self.callers,
         };
-        let value = (value * 100.0).round() / 100.0;
-        if self.said != Some(value) {
-            self.said = Some(value);
-            out.advertise(value);
-        }
+        out.advertise(value);
     }
 }
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -22,7 +22,6 @@
     pub arrived: Time,
     pub due: Time,
     pub held_kb: f64,
-    pub work: Option<Span>,
     pub place: Place,
     /// When it came to its place.
     pub since: Time,
@@ -46,6 +45,29 @@
     }
 }
 
+/// Of a breaker.
+#[derive(Clone, Copy, Default, PartialEq)]
+pub(crate) enum State {
+    #[default]
+    Closed,
+    Open {
+        until: Time,
+    },
+    HalfOpen {
+        trial: Option<RpcId>,
+    },
+}
+
+impl State {
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Closed => "closed",
+            State::Open { .. } => "open",
+            State::HalfOpen { .. } => "half-open",
+        }
+    }
+}
+
 /// Times in bins that double, from 12.8 ms up.
 #[derive(Clone, Default)]
 pub(crate) struct Histogram([u32; 12]);
@@ -60,6 +82,10 @@
         self.0.iter_mut().for_each(|bin| *bin /= 2);
     }
 
+    pub fn seen(&self) -> u64 {
+        self.0.iter().map(|bin| u64::from(*bin)).sum::<u64>() / 8
+    }
+
     /// `guess` while nothing was seen.
     pub fn mean(&self, guess: Span) -> Span {
         let seen = |bin: usize| u64::from(self.0[bin]);
@@ -100,6 +126,7 @@
     rpcs: Vec<Option<Rpc>>,
     count: [usize; 6],
     pub used_kb: f64,
+    pub memory_kb: f64,
     pub chance: WyRand,
 }
 
@@ -122,6 +149,7 @@
             rpcs: Vec::new(),
             count: [0; 6],
             used_kb: 0.0,
+            memory_kb: if terms.memory_kb > 0.0 { terms.memory_kb } else { f64::MAX },
             chance: WyRand::new_seed(seed),
         }
     }
@@ -142,6 +170,22 @@
         self.count[place as usize]
     }
 
+    pub fn method(&self, rpc: &Rpc) -> Method {
+        self.methods[rpc.method]
+    }
+
+    /// The try that `prior` stands for now.
+    pub fn latest(&self, mut prior: Prior) -> Prior {
+        while let Prior::Of(old) = prior {
+            match self.get(old).map(|old| (old.ran, old.heir)) {
+                Some((false, Some(heir))) => prior = Prior::Of(heir),
+                Some(_) => break,
+                None => prior = Prior::Forgotten,
+            }
+        }
+        prior
+    }
+
     /// Begun and not over, on the cores or at a call.
     pub fn started(&self) -> usize {
         self.count(Place::Running) + self.count(Place::Waiting) + self.count(Place::Calling)
@@ -156,7 +200,6 @@
             arrived,
             due: arrival.due.unwrap_or(arrived + method.deadline).max(self.now),
             held_kb: arrival.held_kb,
-            work: arrival.work,
             place: Place::Held,
             since: self.now,
             on_cores: Span::ZERO,
@@ -188,12 +231,23 @@
             rpc.on_cores = rpc.on_cores + (now - rpc.since);
         }
         (rpc.place, rpc.since) = (place, now);
+        rpc.ran |= place == Place::Running;
+        rpc.calls += u32::from(place == Place::Calling);
         let more = rpc.kb(place, factor) - rpc.kb(was, factor);
         self.used_kb += more;
         self.count[was as usize] -= 1;
         self.count[place as usize] += 1;
     }
 
+    /// Held work is over with its answer; started work only when it settles.
+    pub fn answered(&mut self, id: RpcId) {
+        let Some(rpc) = self.get_mut(id) else { return };
+        rpc.answered = true;
+        if matches!(rpc.place, Place::Held | Place::Replaying) {
+            self.put(id, Place::Over);
+        }
+    }
+
     pub fn remove(&mut self, id: RpcId) -> Option<Rpc> {
         let rpc = self.rpcs.get_mut(id.0 as usize)?.take()?;
         self.used_kb -= rpc.kb(rpc.place, self.run_factor);
@@ -201,9 +255,28 @@
         Some(rpc)
     }
 
+    /// Counts a good end at `place`.
+    pub fn record(&mut self, id: RpcId, place: Place) {
+        let Some(rpc) = self.get(id) else { return };
+        let (method, tenant, took) = (rpc.method, rpc.tenant, rpc.on_cores);
+        let in_time = !rpc.answered && self.now - rpc.arrived <= self.method(rpc).target;
+        if place == Place::Running {
+            self.runs[method].add(took);
+        }
+        if in_time {
+            self.asked[method].ok += 1.0;
+            tenant.inspect(|tenant| self.tenants[*tenant].ok += 1.0);
+        }
+    }
+
     pub fn halve(&mut self) {
         self.tallied = self.tallied.share(0.5);
-        self.runs.iter_mut().chain([&mut self.calls]).for_each(Histogram::halve);
+        self.runs.iter_mut().for_each(Histogram::halve);
         self.asked.iter_mut().chain(&mut self.tenants).for_each(Tally::halve);
     }
 }
+
+/// The one with the greatest value; the first of several.
+pub(crate) fn greatest(values: impl Iterator<Item = (f64, RpcId)>) -> Option<RpcId> {
+    values.reduce(|best, next| if next.0 > best.0 { next } else { best }).map(|(_, id)| id)
+}
