--- /dev/null
+++ b/crates/coralstep/tests/scenarios.rs
@@ -0,0 +1,211 @@
+//! Plays the scenarios in `tests/scenarios/*.txt`; the notation is described in `tests/scenarios/NOTATION.md`.
+use std::collections::HashMap;
+use std::fmt::Arguments;
+use std::path::Path;
+
+use coralstep::*;
+
+/// Every answer of one step, as the scenarios write it.
+#[derive(Default)]
+struct Answers(Vec<String>);
+
+impl Answers {
+    fn put(&mut self, word: &str, rpc: RpcId) {
+        self.0.push(format!("{word} {}", rpc.0));
+    }
+}
+
+impl Outlet for Answers {
+    fn admit(&mut self, rpc: RpcId) {
+        self.put("admit", rpc);
+    }
+    fn push_back(&mut self, rpc: RpcId, _after: Span, _last: bool) {
+        self.put("push_back", rpc);
+    }
+    fn abort(&mut self, rpc: RpcId) {
+        self.put("abort", rpc);
+    }
+    fn call(&mut self, rpc: RpcId, _patience: Span) {
+        self.put("call", rpc);
+    }
+    fn skip(&mut self, rpc: RpcId) {
+        self.put("skip", rpc);
+    }
+    fn preempt(&mut self, rpc: RpcId) {
+        self.put("preempt", rpc);
+    }
+    fn keep_token(&mut self, rpc: RpcId, _span: Span) {
+        self.put("keep", rpc);
+    }
+    fn drop_token(&mut self, rpc: RpcId) {
+        self.put("forget", rpc);
+    }
+    fn replay(&mut self, rpc: RpcId) {
+        self.put("replay", rpc);
+    }
+    fn health(&mut self, good: bool) {
+        self.0.push(format!("health {}", if good { "good" } else { "bad" }));
+    }
+    fn log(&mut self, text: Arguments<'_>) {
+        self.0.push(format!("log {text}"));
+    }
+}
+
+fn number(word: &str) -> f64 {
+    word.parse().unwrap_or_else(|_| panic!("{word} is no number"))
+}
+
+fn ms(word: &str) -> Span {
+    Span::ms(number(word) as u64)
+}
+
+/// The `name=value` words of a line.
+fn pairs<'a>(words: &[&'a str]) -> HashMap<&'a str, &'a str> {
+    words.iter().filter_map(|word| word.split_once('=')).collect()
+}
+
+fn method(words: &[&str]) -> Method {
+    let pairs = pairs(words);
+    let get = |name: &str| pairs.get(name).map_or(0.0, |value| number(value));
+    let span = |name: &str| Span::ms(get(name) as u64);
+    Method {
+        effect: match words[0] {
+            "idempotent" => Effect::Idempotent,
+            "tokened" => Effect::Tokened,
+            "non-idempotent" => Effect::NonIdempotent,
+            other => panic!("no effect {other}"),
+        },
+        target: span("target"),
+        deadline: span("deadline"),
+        window: span("window"),
+        criticality: 1.0,
+        late: get("late"),
+        skip: get("skip"),
+        calls: words.contains(&"calls"),
+    }
+}
+
+fn set(terms: &mut Terms, words: &[&str]) {
+    for (name, value) in pairs(words) {
+        match name {
+            "cores" => terms.cores = number(value) as u32,
+            "memory" => terms.memory_kb = number(value),
+            "factor" => terms.run_factor = number(value),
+            "key" => terms.key_kb = number(value),
+            "crowd" => terms.survivable_crowd = number(value),
+            "grace" => terms.drain_grace = ms(value),
+            "linger" => terms.linger = ms(value),
+            "cold" => {
+                (terms.cold, terms.cold_speed, terms.warm_after) = (true, number(value), Span::ms(10_000))
+            }
+            "share" => terms.below = Below::Shared(number(value)),
+            "below" => terms.below = if value == "tier" { Below::Tier } else { Below::Nothing },
+            other => panic!("no term {other}"),
+        }
+    }
+}
+
+fn outcome(word: &str) -> Outcome {
+    match word {
+        "ok" => Outcome::Ok,
+        "error" => Outcome::Error,
+        "pushed_back" => Outcome::PushedBack,
+        "timed_out" => Outcome::TimedOut,
+        "unreachable" => Outcome::Unreachable,
+        "broken" => Outcome::Broken,
+        "cancelled" => Outcome::Cancelled,
+        other => panic!("no outcome {other}"),
+    }
+}
+
+struct Play {
+    terms: Terms,
+    server: Option<Server>,
+    now: Time,
+    answers: Answers,
+    expected: usize,
+}
+
+impl Play {
+    fn line(&mut self, words: &[&str]) {
+        match words[0] {
+            "terms" => return set(&mut self.terms, &words[1..]),
+            "method" => return self.terms.methods.push(method(&words[1..])),
+            "=>" => {
+                let wanted = words[1..].join(" ");
+                let wanted: Vec<&str> = wanted.split(", ").filter(|one| *one != "nothing").collect();
+                assert_eq!(self.answers.0, wanted);
+                self.expected += 1;
+                return;
+            }
+            _ => {}
+        }
+        let (now, out) = (self.now, &mut self.answers);
+        out.0.clear();
+        let server = self.server.get_or_insert_with(|| Server::start(&self.terms, 1, now, out));
+        let id = || RpcId(number(words[1]) as u32);
+        match words[0] {
+            "rpc" => {
+                let pairs = pairs(words);
+                let age = pairs.get("age").map_or(Span::ZERO, |age| ms(age));
+                let prior =
+                    pairs.get("prior").map_or(Prior::Nothing, |old| Prior::Of(RpcId(number(old) as u32)));
+                let method = pairs.get("method").map_or(0, |method| number(method) as usize);
+                let held_kb = pairs.get("kb").map_or(10.0, |kb| number(kb));
+                let arrival = Arrival { id: id(), method, age, prior, held_kb, ..Arrival::default() };
+                server.rpc(now, arrival, out);
+            }
+            "settled" => server.settled(now, id(), outcome(words[2]), out),
+            "needs_call" => server.needs_call(now, id(), out),
+            "called" => server.called(now, id(), outcome(words[2]), Span::ms(1), out),
+            "gone" => server.gone(now, id(), out),
+            "wind_down" => server.wind_down(now, now + ms(words[1]), out),
+            // Time passes, in beats.
+            "wait" => {
+                let until = now + ms(words[1]);
+                while self.now < until {
+                    self.now = (self.now + Span::ms(20)).min(until);
+                    server.timer(self.now, Gauges::default(), out);
+                }
+            }
+            other => panic!("no step {other}"),
+        }
+    }
+}
+
+fn play(path: &Path) -> usize {
+    let text = std::fs::read_to_string(path).unwrap();
+    let start = || Play {
+        terms: Terms::default(),
+        server: None,
+        now: Time(1_000_000),
+        answers: Answers::default(),
+        expected: 0,
+    };
+    let (mut play, mut expected) = (start(), 0);
+    for (number, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        if line.starts_with("scenario") {
+            expected += play.expected;
+            play = start();
+        } else if !line.is_empty() {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let step = std::panic::AssertUnwindSafe(|| play.line(&words));
+            if std::panic::catch_unwind(step).is_err() {
+                panic!("{}:{}: {line}", path.display(), number + 1);
+            }
+        }
+    }
+    expected + play.expected
+}
+
+#[test]
+fn scenarios() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let mut files: Vec<_> = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
+    files.sort();
+    let texts = files.iter().filter(|file| file.extension().is_some_and(|end| end == "txt"));
+    for file in texts {
+        assert!(play(file) > 0, "{} expects nothing", file.display());
+    }
+}
