--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -45,7 +45,7 @@
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
 /// Part of the latency target that an RPC may be held: the other half is for running.
-const HOLD_SHARE: f64 = 0.25;
+const HOLD_SHARE: f64 = 0.15;
 /// Part of the survivable crowd that is ever used: calls that come back and reading need the rest.
 const CROWD_USED: f64 = 0.6;
 /// Parts of the memory: above the first nothing new is held, above the second nothing more is started,
