--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -434,6 +434,8 @@
     advert: Advert,
     callers: f64,
     shed: f64,
+    /// The longest that work has waited unread of late, as a part of its limit.
+    unread: f64,
     reviewed: Time,
     halved: Time,
 }
@@ -474,6 +476,7 @@
             advert: terms.advert,
             callers: f64::from(terms.callers.max(1)),
             shed: 0.0,
+            unread: 0.0,
             reviewed: now,
             halved: now,
         }
@@ -484,6 +487,8 @@
         let (site, id) = (&mut self.site, arrival.id);
         site.now = now;
         site.arrive(&arrival);
+        let limit = Hold::limit(&site.methods[arrival.method]).0.max(1);
+        self.unread = self.unread.max(arrival.age.0 as f64 / limit as f64);
         let step = match self.repeats.enter(site, id, arrival.prior, out) {
             Step::Pass => self.guard.enter(site, id, self.cores.stalled, out),
             step => step,
@@ -718,8 +723,11 @@
 
     /// The free value: less is asked for while work waits long, nothing while leaving or standing still.
     fn advertise(&mut self, out: &mut dyn Outlet) {
-        let step = if self.hold.waited(&self.site) > 0.5 { 0.05 } else { -0.05 };
-        self.shed = (self.shed + step).clamp(0.0, 0.9);
+        // Guards against a line nobody has read yet: a slow server sees its own only by the age of what it reads.
+        let waited = self.hold.waited(&self.site).max(self.unread);
+        self.unread *= 0.8;
+        let step = if waited > 0.5 { 0.1 } else { -0.03 };
+        self.shed = (self.shed + step).clamp(0.0, 0.95);
         let away = self.guard.noticed.is_some() || self.cores.stalled;
         let open = if away { 0.0 } else { 1.0 - self.shed };
         let value = match self.advert {
