Health bad while work arrives older than its target

Cause: callers that keep to their zone go on feeding slow servers, whose unread line grew to five seconds; the free value does not move them, the list does. Meets any reading that falls behind (slow cores, a jump in traffic, costly reading); may hurt where a whole fleet reads late at once, for then all leave the list together.

--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -436,6 +436,7 @@
     shed: f64,
     /// The longest that work has waited unread of late, as a part of its limit.
     unread: f64,
+    drowned: bool,
     reviewed: Time,
     halved: Time,
 }
@@ -477,6 +478,7 @@
             callers: f64::from(terms.callers.max(1)),
             shed: 0.0,
             unread: 0.0,
+            drowned: false,
             reviewed: now,
             halved: now,
         }
@@ -608,10 +610,12 @@
     /// Guards against a server that reads and holds but gets nothing done, whatever stopped its cores.
     fn watch(&mut self, out: &mut dyn Outlet) {
         let stalled = self.site.now - self.cores.moved > STALL;
-        if stalled != self.cores.stalled {
-            self.cores.stalled = stalled;
-            out.log(format_args!("cores {}", if stalled { "stand still" } else { "move again" }));
-            out.health(!stalled && self.guard.noticed.is_none());
+        // Guards against a server that reads what it can no longer answer in time: it leaves until it has read up.
+        let drowned = self.unread > if self.drowned { 1.0 } else { 1.0 / HOLD_SHARE };
+        if (stalled, drowned) != (self.cores.stalled, self.drowned) {
+            (self.cores.stalled, self.drowned) = (stalled, drowned);
+            out.log(format_args!("cores stand still: {stalled}, reading falls behind: {drowned}"));
+            out.health(!stalled && !drowned && self.guard.noticed.is_none());
         }
     }
 
