--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -205,13 +205,11 @@
         let Some(rpc) = site.get(id) else { return Step::End };
         // A beat of margin, for the notice itself was rounded.
         let late = self.noticed.is_some_and(|noticed| rpc.arrived + BEAT > noticed + self.grace);
-        if late || stalled || self.stopping(site.now) {
-            site.push_back(id, self.max_advice, out);
-        } else if site.used_kb > site.memory_kb * MEMORY_HOLD {
-            site.push_back(id, ADVICE, out);
-        } else {
+        let leaving = late || stalled || self.stopping(site.now);
+        if !leaving && site.used_kb <= site.memory_kb * MEMORY_HOLD {
             return Step::Pass;
         }
+        site.push_back(id, if leaving { self.max_advice } else { ADVICE }, out);
         Step::End
     }
 
@@ -437,17 +435,13 @@
     /// The longest that work has waited unread of late, as a part of its limit.
     unread: f64,
     drowned: bool,
-    reviewed: Time,
-    halved: Time,
+    beats: u64,
 }
 
 impl Server {
     pub fn start(terms: &Terms, seed: u64, now: Time, out: &mut dyn Outlet) -> Server {
         let cores = terms.cores.max(1) as usize;
-        let share = match terms.below {
-            Below::Shared(share) if share > 0.0 => Some(share),
-            _ => None,
-        };
+        let share = terms.below.share();
         let warm_after = if terms.cold { terms.warm_after } else { Span::ZERO };
         let (grace, max_advice) = (terms.drain_grace, terms.max_advice);
         out.timer(BEAT);
@@ -479,8 +473,7 @@
             shed: 0.0,
             unread: 0.0,
             drowned: false,
-            reviewed: now,
-            halved: now,
+            beats: 0,
         }
     }
 
@@ -595,12 +588,11 @@
         for id in self.site.ids() {
             self.check(id, out);
         }
-        if now - self.halved >= HALVE {
-            self.halved = now;
+        self.beats += 1;
+        if self.beats.is_multiple_of(HALVE.0 / BEAT.0) {
             self.site.halve();
         }
-        if now - self.reviewed >= REVIEW {
-            self.reviewed = now;
+        if self.beats.is_multiple_of(REVIEW.0 / BEAT.0) {
             self.bulkhead.review(&mut self.site);
             self.advertise(out);
         }
@@ -611,7 +603,7 @@
     fn watch(&mut self, out: &mut dyn Outlet) {
         let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads what it can no longer answer in time: it leaves until it has read up.
-        let drowned = self.unread > if self.drowned { 1.0 } else { 1.0 / HOLD_SHARE };
+        let drowned = self.unread > if self.drowned { 1.0 } else { 0.5 / HOLD_SHARE };
         if (stalled, drowned) != (self.cores.stalled, self.drowned) {
             (self.cores.stalled, self.drowned) = (stalled, drowned);
             out.log(format_args!("cores stand still: {stalled}, reading falls behind: {drowned}"));
@@ -653,13 +645,12 @@
     /// Ends what is over, back through the chain, and lets go of its index once its token is.
     fn close(&mut self, id: RpcId, out: &mut dyn Outlet) {
         let Some(rpc) = self.site.get(id) else { return };
+        let token = rpc.ran && rpc.token_until.is_some_and(|until| until > self.site.now);
+        let over = rpc.place == Place::Over && !token;
         if rpc.answered {
             self.bulkhead.waiting.retain(|waiting| *waiting != id);
         }
-        if rpc.place != Place::Over {
-            return;
-        }
-        if !(rpc.ran && rpc.token_until.is_some_and(|until| until > self.site.now)) {
+        if over {
             self.hold.held.retain(|held| *held != id);
             self.repeats.leave(&mut self.site, id, out);
             self.site.remove(id);
@@ -683,12 +674,13 @@
     fn patience(&self, rpc: &Rpc) -> Span {
         let (site, method) = (&self.site, self.site.method(rpc));
         let left = (rpc.due - site.now) - EARLY;
-        if method.effect != Effect::Idempotent {
-            return left;
-        }
         let useful = (rpc.arrived + method.target - site.run_time(rpc)) - site.now;
         let usual = site.calls.mean(CALL_GUESS) * PATIENCE;
-        left.min(usual.min(useful).max(PATIENCE_LEAST))
+        if method.effect == Effect::Idempotent {
+            left.min(usual.min(useful).max(PATIENCE_LEAST))
+        } else {
+            left
+        }
     }
 
     /// Moves on whatever can move: calls first, for they hold memory, then new runs.
--- a/crates/coralstep/src/door.rs
+++ b/crates/coralstep/src/door.rs
@@ -105,6 +105,16 @@
     Tier,
 }
 
+impl Below {
+    /// Of a shared dependency, where it is stated.
+    pub fn share(self) -> Option<f64> {
+        match self {
+            Below::Shared(share) if share > 0.0 => Some(share),
+            _ => None,
+        }
+    }
+}
+
 /// How callers read the value set by [`Outlet::advertise`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Advert {
