--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -28,8 +28,7 @@
 const PATIENCE: u64 = 6;
 const PATIENCE_LEAST: Span = Span::ms(300);
 /// Taken for the usual time of a call or a run before any was seen.
-const CALL_GUESS: Span = Span::ms(200);
-const RUN_GUESS: Span = Span::ms(300);
+const GUESS: Span = Span::ms(250);
 /// The longest wait for a permit, and the advice when it was in vain (the source's 1 s and 5 s).
 const PERMIT_WAIT: Span = Span::ms(1_000);
 const PERMIT_ADVICE: Span = Span::ms(5_000);
@@ -66,6 +65,8 @@
 const ADVICE: Span = Span::ms(250);
 /// How far behind the worst-served method or tenant one still gets part of its boost, as a part of service.
 const WORST_BAND: f64 = 0.1;
+/// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
+const RETRIED: f64 = 0.5;
 /// RPCs for each core that callers together may have here, where the free value is a credit.
 const CREDIT: f64 = 4.0;
 
@@ -108,7 +109,7 @@
 
     /// The usual time on the cores.
     fn run_time(&self, rpc: &Rpc) -> Span {
-        self.runs[rpc.method].mean(RUN_GUESS)
+        self.runs[rpc.method].mean(GUESS)
     }
 
     /// Criticality to be won for each unit of work, as the goal counts it: over-share traffic is discounted,
@@ -123,6 +124,9 @@
             worth += self.goal[2] * each * lag(&self.tenants, tenant);
             worth *= self.within(tenant);
         }
+        if rpc.retry {
+            worth *= RETRIED;
+        }
         if self.by_work { worth } else { worth / self.run_time(rpc).0.max(1) as f64 }
     }
 
@@ -325,7 +329,7 @@
 
     /// Guards against work that would only end in a line for permits.
     fn crowded(&self, site: &Site) -> bool {
-        let each = site.calls.mean(CALL_GUESS).0.max(1) as f64;
+        let each = site.calls.mean(GUESS).0.max(1) as f64;
         self.waiting.len() as f64 > (self.permits * PERMIT_LINE.0 as f64 / each).max(1.0)
     }
 
@@ -603,7 +607,7 @@
     fn watch(&mut self, out: &mut dyn Outlet) {
         let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads what it can no longer answer in time: it leaves until it has read up.
-        let drowned = self.unread > if self.drowned { 1.0 } else { 0.5 / HOLD_SHARE };
+        let drowned = self.unread > if self.drowned { 1.0 } else { 1.0 / HOLD_SHARE };
         if (stalled, drowned) != (self.cores.stalled, self.drowned) {
             (self.cores.stalled, self.drowned) = (stalled, drowned);
             out.log(format_args!("cores stand still: {stalled}, reading falls behind: {drowned}"));
@@ -675,7 +679,7 @@
         let (site, method) = (&self.site, self.site.method(rpc));
         let left = (rpc.due - site.now) - EARLY;
         let useful = (rpc.arrived + method.target - site.run_time(rpc)) - site.now;
-        let usual = site.calls.mean(CALL_GUESS) * PATIENCE;
+        let usual = site.calls.mean(GUESS) * PATIENCE;
         if method.effect == Effect::Idempotent {
             left.min(usual.min(useful).max(PATIENCE_LEAST))
         } else {
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -22,6 +22,7 @@
     pub arrived: Time,
     pub due: Time,
     pub held_kb: f64,
+    pub retry: bool,
     pub place: Place,
     /// When it came to its place.
     pub since: Time,
@@ -200,6 +201,7 @@
             arrived,
             due: arrival.due.unwrap_or(arrived + method.deadline).max(self.now),
             held_kb: arrival.held_kb,
+            retry: arrival.retry,
             place: Place::Held,
             since: self.now,
             on_cores: Span::ZERO,
