--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -66,7 +66,7 @@
 /// How far behind the worst-served method or tenant one still gets part of its boost, as a part of service.
 const WORST_BAND: f64 = 0.1;
 /// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
-const RETRIED: f64 = 0.5;
+const RETRIED: f64 = 0.25;
 /// RPCs for each core that callers together may have here, where the free value is a credit.
 const CREDIT: f64 = 4.0;
 
@@ -76,15 +76,11 @@
     End,
 }
 
-fn service(tally: &Tally) -> f64 {
-    if tally.asked < 4.0 { 1.0 } else { (tally.ok / tally.asked).min(1.0) }
-}
-
 /// How much more is to be had by serving one of `tallies`: most for the worst served, 0 beyond the band.
 fn lag(tallies: &[Tally], index: usize) -> f64 {
-    let worst = tallies.iter().map(service).fold(1.0, f64::min);
+    let worst = tallies.iter().map(Tally::service).fold(1.0, f64::min);
     let asked: f64 = tallies.iter().map(|tally| tally.asked).sum();
-    let near = (1.0 - (service(&tallies[index]) - worst) / WORST_BAND).max(0.0);
+    let near = (1.0 - (tallies[index].service() - worst) / WORST_BAND).max(0.0);
     near * asked.max(1.0) / tallies[index].asked.max(asked * 0.02).max(1.0)
 }
 
@@ -579,7 +575,6 @@
         self.site.now = now;
         (self.guard.noticed, self.guard.stop) = (Some(now), stop);
         out.health(false);
-        self.advertise(out);
     }
 
     /// The timer asked for last has run out.
@@ -708,8 +703,7 @@
             // Nothing is begun that would only end at an open breaker.
             let shut = self.breaker.shut(self.site.now).is_some() || self.bulkhead.crowded(&self.site);
             let room_kb = self.site.memory_kb * MEMORY_RUN - self.site.used_kb;
-            let factor = self.site.run_factor - 1.0;
-            let site = &self.site;
+            let (site, factor) = (&self.site, self.site.run_factor - 1.0);
             let may = |rpc: &Rpc| {
                 let method = site.method(rpc);
                 rpc.held_kb * factor <= room_kb && !(shut && method.calls && method.skip == 0.0)
@@ -728,8 +722,7 @@
         self.unread *= 0.8;
         let step = if waited > 0.5 { 0.1 } else { -0.03 };
         self.shed = (self.shed + step).clamp(0.0, 0.95);
-        let away = self.guard.noticed.is_some() || self.cores.stalled;
-        let open = if away { 0.0 } else { 1.0 - self.shed };
+        let open = if self.guard.noticed.is_some() || self.cores.stalled { 0.0 } else { 1.0 - self.shed };
         let value = match self.advert {
             Advert::Off => return,
             Advert::Level => 1.0 - open,
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -103,6 +103,11 @@
 }
 
 impl Tally {
+    /// The part served in time; all of it before anything was asked.
+    pub fn service(&self) -> f64 {
+        (self.ok + 1.0) / (self.asked + 1.0)
+    }
+
     pub fn halve(&mut self) {
         (self.asked, self.ok) = (self.asked / 2.0, self.ok / 2.0);
     }
