First cooldown 1 s; what ran with an effect outlasts it where its target allows

Exception to the design: no error while the cooldown ends before the target. Also meets flapping from any short burst of failures; may hold memory longer.

--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -19,7 +19,7 @@
 const WINDOW: u32 = 20;
 const TRIP: f64 = 0.5;
 /// A breaker's first cooldown; each failed trial doubles it up to the source's 30 s.
-const COOLDOWN: Span = Span::ms(2_000);
+const COOLDOWN: Span = Span::ms(1_000);
 const COOLDOWN_MOST: Span = Span::ms(30_000);
 /// Calls made for one need at the most: the first and one repeat.
 const CALLS_EACH: u32 = 2;
@@ -669,6 +669,12 @@
         }
     }
 
+    /// Guards against an error for what has run with an effect, where the cooldown ends before its target.
+    fn outlasts(&self, rpc: &Rpc, left: Span) -> bool {
+        let method = self.site.method(rpc);
+        method.effect != Effect::Idempotent && self.site.now + left < rpc.arrived + method.target
+    }
+
     /// How long a call may take. What can be repeated or left out gives up in time for that.
     fn patience(&self, rpc: &Rpc) -> Span {
         let (site, method) = (&self.site, self.site.method(rpc));
@@ -684,11 +690,14 @@
 
     /// Moves on whatever can move: calls first, for they hold memory, then new runs.
     fn pump(&mut self, out: &mut dyn Outlet) {
-        while let Some(id) = self.bulkhead.next(&self.site) {
-            if let Some(left) = self.breaker.shut(self.site.now) {
-                self.without_call(id, left, out);
-                continue;
+        if let Some(left) = self.breaker.shut(self.site.now) {
+            for id in self.bulkhead.waiting.clone() {
+                if !self.site.get(id).is_some_and(|rpc| self.outlasts(rpc, left)) {
+                    self.without_call(id, left, out);
+                }
             }
+        }
+        while let Some(id) = self.bulkhead.next(&self.site) {
             if !self.bulkhead.room(&self.site)
                 || !matches!(self.breaker.enter(&self.site, id, out), Step::Pass)
             {
