--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -1,4 +1,4 @@
-//! Every decision of coralstep. Make a [`Server`] with `start`, report what happens to it by `rpc`, `settled`,
+//! Every decision of coralstep. Make a [`Server`] with `start`, report what happens by `rpc`, `settled`,
 //! `needs_call`, `called`, `gone`, `wind_down` and `timer`; the answers go at once to the `Outlet`.
 //! The interface, `Outlet` and all types passed in, is in `door.rs`; the shared records are in `site.rs`.
 //!
@@ -23,8 +23,7 @@
 const COOLDOWN_MOST: Span = Span::ms(30_000);
 /// Calls made for one need at the most: the first and one repeat.
 const CALLS_EACH: u32 = 2;
-/// A call that may be repeated or left out is given up after so many times the usual (beyond 99 in 100 of
-/// log-normal times), but not before the least: a short pause of either process fits in.
+/// Patience with a call: in usual times (99 in 100 end sooner), and at the least (a short pause fits in).
 const PATIENCE: u64 = 6;
 const PATIENCE_LEAST: Span = Span::ms(300);
 /// Taken for the usual time of a call or a run before any was seen.
@@ -43,13 +42,11 @@
 const CALLS_KNOWN: u64 = 40;
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
-/// Part of the latency target that an RPC may be held. The design starts at a half; a quarter leaves the client
-/// time to be served elsewhere, and less cuts off work in ordinary clumps.
+/// Part of the target that an RPC may be held; half, the design's start, left no time for another server.
 const HOLD_SHARE: f64 = 0.25;
 /// Part of the survivable crowd that is ever used: calls that come back and reading need the rest.
 const CROWD_USED: f64 = 0.6;
-/// Parts of the memory: above the first nothing new is held, above the second nothing more is started,
-/// and tokens never take more than the third.
+/// Parts of the memory up to which work is held, work is begun and tokens are kept; reading needs the rest.
 const MEMORY_HOLD: f64 = 0.7;
 const MEMORY_RUN: f64 = 0.85;
 const MEMORY_TOKENS: f64 = 0.5;
@@ -225,8 +222,9 @@
 }
 
 impl Hold {
-    fn limit(method: &Method) -> Span {
-        method.target.share(HOLD_SHARE)
+    /// The part of its limit that an RPC has been here; over from 1 on.
+    fn part(site: &Site, rpc: &Rpc) -> f64 {
+        (site.now - rpc.arrived).0 as f64 / (site.method(rpc).target.0.max(1) as f64 * HOLD_SHARE)
     }
 
     /// The most valuable of those that `may` start.
@@ -238,9 +236,8 @@
 
     /// The longest part of its limit that any of them has waited.
     fn waited(&self, site: &Site) -> f64 {
-        let limit = |rpc: &Rpc| Hold::limit(&site.method(rpc)).0.max(1) as f64;
-        let part = |id: &RpcId| site.get(*id).map(|rpc| (site.now - rpc.arrived).0 as f64 / limit(rpc));
-        self.held.iter().filter_map(part).fold(0.0, f64::max)
+        let held = self.held.iter().filter_map(|id| site.get(*id));
+        held.map(|rpc| Hold::part(site, rpc)).fold(0.0, f64::max)
     }
 }
 
@@ -303,9 +300,8 @@
     /// Abandoned calls may still be in the hands of the dependency and count on.
     fn in_hand(&mut self, site: &Site) -> f64 {
         let in_hand = (site.count(Place::Calling) + self.lingering.len()) as f64;
-        let passed = (site.now - self.counted).0 as f64;
-        self.credit =
-            (self.credit + (self.permits - in_hand) * passed).min(self.permits * PERMIT_LINE.0 as f64);
+        let more = (self.permits - in_hand) * (site.now - self.counted).0 as f64;
+        self.credit = (self.credit + more).min(self.permits * PERMIT_LINE.0 as f64);
         self.counted = site.now;
         self.lingering.retain(|until| *until > site.now);
         in_hand
@@ -338,9 +334,7 @@
 
     /// Guards against a shared dependency that all crowd: it slows long before it falls.
     fn review(&mut self, site: &mut Site) {
-        if site.calls.seen() > CALLS_KNOWN {
-            site.calls.halve();
-        }
+        site.calls.fade(CALLS_KNOWN);
         let Some(share) = self.share else { return };
         self.in_hand(site);
         let usual = site.calls.mean(Span(self.best)).0;
@@ -482,8 +476,7 @@
         let (site, id) = (&mut self.site, arrival.id);
         site.now = now;
         site.arrive(&arrival);
-        let limit = Hold::limit(&site.methods[arrival.method]).0.max(1);
-        self.unread = self.unread.max(arrival.age.0 as f64 / limit as f64);
+        self.unread = site.get(id).map_or(0.0, |rpc| Hold::part(site, rpc)).max(self.unread);
         let step = match self.repeats.enter(site, id, arrival.prior, out) {
             Step::Pass => self.guard.enter(site, id, self.cores.stalled, out),
             step => step,
@@ -601,7 +594,7 @@
     /// Guards against a server that reads and holds but gets nothing done, whatever stopped its cores.
     fn watch(&mut self, out: &mut dyn Outlet) {
         let stalled = self.site.now - self.cores.moved > STALL;
-        // Guards against a server that reads what it can no longer answer in time: it leaves until it has read up.
+        // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
         let drowned = self.unread > if self.drowned { 1.0 } else { 1.0 / HOLD_SHARE };
         if (stalled, drowned) != (self.cores.stalled, self.drowned) {
             (self.cores.stalled, self.drowned) = (stalled, drowned);
@@ -619,18 +612,16 @@
         }
         let method = self.site.method(rpc);
         let (age, idempotent) = (now - rpc.arrived, method.effect == Effect::Idempotent);
+        let leaving = self.guard.stopping(now) || self.cores.stalled;
         let due = now + EARLY >= rpc.due || self.guard.stopping(now);
         // No answer that could still be given earns anything.
         let worthless = idempotent && method.late == 0.0 && age >= method.target;
-        let waited =
-            idempotent && (now - rpc.since >= PERMIT_WAIT || age + self.site.run_time(rpc) >= method.target);
+        let waited = now - rpc.since >= PERMIT_WAIT || age + self.site.run_time(rpc) >= method.target;
         match rpc.place {
-            Place::Held if self.guard.stopping(now) || self.cores.stalled => {
-                self.site.push_back(id, self.guard.max_advice, out);
-            }
-            Place::Held if due || age >= Hold::limit(&method) => self.site.push_back(id, ADVICE, out),
+            Place::Held if leaving => self.site.push_back(id, self.guard.max_advice, out),
+            Place::Held if due || Hold::part(&self.site, rpc) >= 1.0 => self.site.push_back(id, ADVICE, out),
             _ if due => self.site.abort(id, out),
-            Place::Waiting if waited => self.without_call(id, PERMIT_ADVICE, out),
+            Place::Waiting if idempotent && waited => self.without_call(id, PERMIT_ADVICE, out),
             Place::Running if worthless && self.site.may_stop => {
                 self.site.push_back(id, ADVICE, out);
                 out.preempt(id);
@@ -657,7 +648,7 @@
         }
     }
 
-    /// The answer instead of a call: the fallback, a quick pushback, or an error for what may have had effect.
+    /// The answer instead of a call: fallback, quick pushback, or an error for what may have had effect.
     fn without_call(&mut self, id: RpcId, after: Span, out: &mut dyn Outlet) {
         self.bulkhead.waiting.retain(|waiting| *waiting != id);
         let Some(rpc) = self.site.get(id) else { return };
@@ -726,7 +717,7 @@
 
     /// The free value: less is asked for while work waits long, nothing while leaving or standing still.
     fn advertise(&mut self, out: &mut dyn Outlet) {
-        // Guards against a line nobody has read yet: a slow server sees its own only by the age of what it reads.
+        // Guards against a line nobody has read yet; a slow server sees it only by the age of what it reads.
         let waited = self.hold.waited(&self.site).max(self.unread);
         self.unread *= 0.8;
         let step = if waited > 0.5 { 0.1 } else { -0.03 };
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -83,8 +83,11 @@
         self.0.iter_mut().for_each(|bin| *bin /= 2);
     }
 
-    pub fn seen(&self) -> u64 {
-        self.0.iter().map(|bin| u64::from(*bin)).sum::<u64>() / 8
+    /// Halves itself where it holds more than `most`.
+    pub fn fade(&mut self, most: u64) {
+        if self.0.iter().map(|bin| u64::from(*bin)).sum::<u64>() / 8 > most {
+            self.halve();
+        }
     }
 
     /// `guess` while nothing was seen.
--- a/crates/coralstep/tests/scenarios.rs
+++ b/crates/coralstep/tests/scenarios.rs
@@ -152,12 +152,23 @@
                     pairs.get("prior").map_or(Prior::Nothing, |old| Prior::Of(RpcId(number(old) as u32)));
                 let method = pairs.get("method").map_or(0, |method| number(method) as usize);
                 let held_kb = pairs.get("kb").map_or(10.0, |kb| number(kb));
-                let arrival = Arrival { id: id(), method, age, prior, held_kb, ..Arrival::default() };
+                let retry = words.contains(&"retry");
+                let arrival = Arrival { id: id(), method, age, prior, held_kb, retry, ..Arrival::default() };
                 server.rpc(now, arrival, out);
             }
             "settled" => server.settled(now, id(), outcome(words[2]), out),
             "needs_call" => server.needs_call(now, id(), out),
             "called" => server.called(now, id(), outcome(words[2]), Span::ms(1), out),
+            // So many calls of one RPC, as it asks for them and as they end.
+            "calls" => {
+                for call in 0..number(words[2]) as u32 {
+                    if call % 2 == 0 || words[3] == "ok" {
+                        server.needs_call(now, id(), out);
+                    }
+                    server.called(now, id(), outcome(words[3]), Span::ms(1), out);
+                }
+                out.0.retain(|answer| answer.starts_with("log"));
+            }
             "gone" => server.gone(now, id(), out),
             "wind_down" => server.wind_down(now, now + ms(words[1]), out),
             // Time passes, in beats.
