--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -268,12 +268,19 @@
     }
 
     /// Grows while cores idle and work waits, shrinks back when they don't.
-    fn adjust(&mut self, site: &Site, waits: bool, busy: f64) {
-        if waits && busy < 0.9 && site.count(Place::Running) >= self.limit {
+    fn adjust(&mut self, site: &Site, waits: bool, busy: f64, unread: f64) {
+        if unread > 1.0 {
+            // Guards against runs that leave reading too little of the cores: what comes too late is lost anyway.
+            self.limit = (self.limit - 1).max(1);
+        } else if self.limit < self.cores || (waits && busy < 0.9 && site.count(Place::Running) >= self.limit)
+        {
             self.limit = (self.limit + 1).min(self.cores * 2);
         } else if busy > 0.97 && self.limit > self.cores {
             self.limit -= 1;
         }
+    }
+
+    fn watch(&mut self, site: &Site) {
         if site.count(Place::Running) < self.cores {
             self.moved = site.now;
         }
@@ -575,7 +582,7 @@
         self.site.now = now;
         self.site.tallied = self.site.tallied + BEAT;
         out.timer(BEAT);
-        self.cores.adjust(&self.site, !self.hold.held.is_empty(), gauges.busy.unwrap_or(1.0));
+        self.cores.watch(&self.site);
         self.watch(out);
         for id in self.site.ids() {
             self.check(id, out);
@@ -586,6 +593,8 @@
         }
         if self.beats.is_multiple_of(REVIEW.0 / BEAT.0) {
             self.bulkhead.review(&mut self.site);
+            let (waits, busy) = (!self.hold.held.is_empty(), gauges.busy.unwrap_or(1.0));
+            self.cores.adjust(&self.site, waits, busy, self.unread);
             self.advertise(out);
         }
         self.pump(out);
