--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -269,7 +269,7 @@
 
     /// Grows while cores idle and work waits, shrinks back when they don't.
     fn adjust(&mut self, site: &Site, waits: bool, busy: f64, unread: f64) {
-        if unread > 1.0 {
+        if unread > 0.5 {
             // Guards against runs that leave reading too little of the cores: what comes too late is lost anyway.
             self.limit = (self.limit - 1).max(1);
         } else if self.limit < self.cores || (waits && busy < 0.9 && site.count(Place::Running) >= self.limit)
