--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -269,7 +269,7 @@
 
     /// Grows while cores idle and work waits, shrinks back when they don't.
     fn adjust(&mut self, site: &Site, waits: bool, busy: f64, unread: f64) {
-        if unread > 0.5 {
+        if unread > 1.0 {
             // Guards against runs that leave reading too little of the cores: what comes too late is lost anyway.
             self.limit = (self.limit - 1).max(1);
         } else if self.limit < self.cores || (waits && busy < 0.9 && site.count(Place::Running) >= self.limit)
@@ -604,7 +604,7 @@
     fn watch(&mut self, out: &mut dyn Outlet) {
         let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
-        let drowned = self.unread > if self.drowned { 1.0 } else { 1.0 / HOLD_SHARE };
+        let drowned = self.unread > if self.drowned { 1.0 } else { 2.0 / HOLD_SHARE };
         if (stalled, drowned) != (self.cores.stalled, self.drowned) {
             (self.cores.stalled, self.drowned) = (stalled, drowned);
             out.log(format_args!("cores stand still: {stalled}, reading falls behind: {drowned}"));
