--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -270,7 +270,7 @@
     /// Grows while cores idle and work waits, shrinks back when they don't.
     fn adjust(&mut self, site: &Site, waits: bool, busy: f64, unread: f64) {
         if unread > 1.0 {
-            // Guards against runs that leave reading too little of the cores: what comes too late is lost anyway.
+            // Guards against runs that leave reading too little of the cores: all would be read too late.
             self.limit = (self.limit - 1).max(1);
         } else if self.limit < self.cores || (waits && busy < 0.9 && site.count(Place::Running) >= self.limit)
         {
@@ -279,12 +279,6 @@
             self.limit -= 1;
         }
     }
-
-    fn watch(&mut self, site: &Site) {
-        if site.count(Place::Running) < self.cores {
-            self.moved = site.now;
-        }
-    }
 }
 
 /// Calls in hand, and what waits to make one.
@@ -507,9 +501,7 @@
             }
         }
         self.site.put(id, Place::Over);
-        if place == Place::Running {
-            self.cores.moved = now;
-        }
+        self.cores.moved = now;
         if outcome == Outcome::Ok {
             self.site.record(id, place);
         }
@@ -531,6 +523,7 @@
             self.bulkhead.waiting.push(id);
         }
         self.site.put(id, Place::Waiting);
+        self.check(id, out);
         self.pump(out);
     }
 
@@ -554,6 +547,7 @@
                 self.without_call(id, self.breaker.shut(now).unwrap_or(ADVICE), out);
             }
         }
+        self.check(id, out);
         self.pump(out);
     }
 
@@ -582,7 +576,6 @@
         self.site.now = now;
         self.site.tallied = self.site.tallied + BEAT;
         out.timer(BEAT);
-        self.cores.watch(&self.site);
         self.watch(out);
         for id in self.site.ids() {
             self.check(id, out);
@@ -602,6 +595,9 @@
 
     /// Guards against a server that reads and holds but gets nothing done, whatever stopped its cores.
     fn watch(&mut self, out: &mut dyn Outlet) {
+        if self.site.count(Place::Running) < self.cores.cores {
+            self.cores.moved = self.site.now;
+        }
         let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
         let drowned = self.unread > if self.drowned { 1.0 } else { 2.0 / HOLD_SHARE };
@@ -626,10 +622,12 @@
         // No answer that could still be given earns anything.
         let worthless = idempotent && method.late == 0.0 && age >= method.target;
         let waited = now - rpc.since >= PERMIT_WAIT || age + self.site.run_time(rpc) >= method.target;
+        let shut = self.breaker.shut(now).filter(|left| !self.outlasts(rpc, *left));
         match rpc.place {
             Place::Held if leaving => self.site.push_back(id, self.guard.max_advice, out),
             Place::Held if due || Hold::part(&self.site, rpc) >= 1.0 => self.site.push_back(id, ADVICE, out),
             _ if due => self.site.abort(id, out),
+            Place::Waiting if shut.is_some() => self.without_call(id, shut.unwrap_or(ADVICE), out),
             Place::Waiting if idempotent && waited => self.without_call(id, PERMIT_ADVICE, out),
             Place::Running if worthless && self.site.may_stop => {
                 self.site.push_back(id, ADVICE, out);
@@ -690,13 +688,6 @@
 
     /// Moves on whatever can move: calls first, for they hold memory, then new runs.
     fn pump(&mut self, out: &mut dyn Outlet) {
-        if let Some(left) = self.breaker.shut(self.site.now) {
-            for id in self.bulkhead.waiting.clone() {
-                if !self.site.get(id).is_some_and(|rpc| self.outlasts(rpc, left)) {
-                    self.without_call(id, left, out);
-                }
-            }
-        }
         while let Some(id) = self.bulkhead.next(&self.site) {
             if !self.bulkhead.room(&self.site)
                 || !matches!(self.breaker.enter(&self.site, id, out), Step::Pass)
