Count what runs towards its call in the line for permits

Now they wait in the hold, where being turned away costs nothing. Meets any slowness below, also inside the time-out; may hurt where most runs of a method that may call don't.

--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -320,10 +320,10 @@
         greatest(waiting)
     }
 
-    /// Guards against work that would only end in a line for permits.
+    /// Guards against work that would only end in a line for permits; what runs towards its call stands in it.
     fn crowded(&self, site: &Site) -> bool {
         let each = site.calls.mean(GUESS).0.max(1) as f64;
-        self.waiting.len() as f64 > (self.permits * PERMIT_LINE.0 as f64 / each).max(1.0)
+        site.before_calls() as f64 > (self.permits * PERMIT_LINE.0 as f64 / each).max(1.0)
     }
 
     fn left(&mut self, site: &Site, abandoned: bool) {
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -195,6 +195,12 @@
         prior
     }
 
+    /// Begun RPCs that may call and have not done so.
+    pub fn before_calls(&self) -> usize {
+        let before = |rpc: &Rpc| rpc.calls == 0 && matches!(rpc.place, Place::Running | Place::Waiting);
+        self.rpcs.iter().flatten().filter(|rpc| before(rpc) && self.method(rpc).calls).count()
+    }
+
     /// Begun and not over, on the cores or at a call.
     pub fn started(&self) -> usize {
         self.count(Place::Running) + self.count(Place::Waiting) + self.count(Place::Calling)
