--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -31,8 +31,8 @@
 /// The longest wait for a permit, and the advice when it was in vain (the source's 1 s and 5 s).
 const PERMIT_WAIT: Span = Span::ms(1_000);
 const PERMIT_ADVICE: Span = Span::ms(5_000);
-/// The line for permits that new work may join: what permits serve in half the wait.
-const PERMIT_LINE: Span = Span::ms(500);
+/// The line for permits that new work may join: what they serve in a quarter of the wait.
+const PERMIT_LINE: Span = Span::ms(250);
 /// Parts of its share of a shared dependency that a server uses: at first, at the least while calls take
 /// long, at the most. The last leaves room for calls of servers that died.
 const SHARE_FIRST: f64 = 0.5;
