--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -32,7 +32,7 @@
 const PERMIT_WAIT: Span = Span::ms(1_000);
 const PERMIT_ADVICE: Span = Span::ms(5_000);
 /// The line for permits that new work may join: what they serve in a quarter of the wait.
-const PERMIT_LINE: Span = Span::ms(250);
+const PERMIT_LINE: Span = Span::ms(125);
 /// Parts of its share of a shared dependency that a server uses: at first, at the least while calls take
 /// long, at the most. The last leaves room for calls of servers that died.
 const SHARE_FIRST: f64 = 0.5;
