--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -32,7 +32,7 @@
 const PERMIT_WAIT: Span = Span::ms(1_000);
 const PERMIT_ADVICE: Span = Span::ms(5_000);
 /// The line for permits that new work may join: what they serve in a quarter of the wait.
-const PERMIT_LINE: Span = Span::ms(125);
+const PERMIT_LINE: Span = Span::ms(250);
 /// Parts of its share of a shared dependency that a server uses: at first, at the least while calls take
 /// long, at the most. The last leaves room for calls of servers that died.
 const SHARE_FIRST: f64 = 0.5;
@@ -59,7 +59,7 @@
 /// The free value and the bulkhead are set anew this often: slower than answers, faster than a hold fills.
 const REVIEW: Span = Span::ms(100);
 /// Advice given with an ordinary pushback: long enough for a few runs to end.
-const ADVICE: Span = Span::ms(250);
+const ADVICE: Span = Span::ms(600);
 /// How far behind the worst-served method or tenant one still gets part of its boost, as a part of service.
 const WORST_BAND: f64 = 0.1;
 /// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
