--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -59,7 +59,7 @@
 /// The free value and the bulkhead are set anew this often: slower than answers, faster than a hold fills.
 const REVIEW: Span = Span::ms(100);
 /// Advice given with an ordinary pushback: long enough for a few runs to end.
-const ADVICE: Span = Span::ms(100);
+const ADVICE: Span = Span::ms(250);
 /// How far behind the worst-served method or tenant one still gets part of its boost, as a part of service.
 const WORST_BAND: f64 = 0.1;
 /// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
