--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -532,7 +532,12 @@
         self.site.now = now;
         let Some(rpc) = self.site.get(id).filter(|rpc| rpc.place == Place::Calling) else { return };
         let (calls, answered) = (rpc.calls, rpc.answered);
-        let again = self.site.method(rpc).effect == Effect::Idempotent || outcome.proves_it_never_ran();
+        let method = self.site.method(rpc);
+        // Guards against an error for what has run with an effect where only the call was pushed back.
+        let again = match method.effect {
+            Effect::Idempotent => calls < CALLS_EACH,
+            _ => outcome.proves_it_never_ran() && (calls < CALLS_EACH || now < rpc.arrived + method.target),
+        };
         let ok = outcome == Outcome::Ok;
         if !outcome.proves_it_never_ran() {
             self.site.calls.add(took);
@@ -541,7 +546,7 @@
         self.bulkhead.left(&self.site, outcome == Outcome::TimedOut);
         self.site.put(id, if ok { Place::Running } else { Place::Waiting });
         if !ok && !answered {
-            if again && calls < CALLS_EACH {
+            if again {
                 self.bulkhead.waiting.push(id);
             } else {
                 self.without_call(id, self.breaker.shut(now).unwrap_or(ADVICE), out);
