--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -47,9 +47,9 @@
 /// Part of the survivable crowd that is ever used: calls that come back and reading need the rest.
 const CROWD_USED: f64 = 0.6;
 /// Parts of the memory up to which work is held, work is begun and tokens are kept; reading needs the rest.
-const MEMORY_HOLD: f64 = 0.7;
-const MEMORY_RUN: f64 = 0.85;
-const MEMORY_TOKENS: f64 = 0.5;
+const MEMORY_HOLD: f64 = 0.82;
+const MEMORY_RUN: f64 = 0.9;
+const MEMORY_TOKENS: f64 = 0.75;
 /// A token stays known this much longer than its window, against rounding and the batch interval.
 const TOKEN_EXTRA: Span = Span::ms(50);
 /// Full cores that finish nothing for so long stand still: several times any ordinary run.
@@ -532,12 +532,7 @@
         self.site.now = now;
         let Some(rpc) = self.site.get(id).filter(|rpc| rpc.place == Place::Calling) else { return };
         let (calls, answered) = (rpc.calls, rpc.answered);
-        let method = self.site.method(rpc);
-        // Guards against an error for what has run with an effect where only the call was pushed back.
-        let again = match method.effect {
-            Effect::Idempotent => calls < CALLS_EACH,
-            _ => outcome.proves_it_never_ran() && (calls < CALLS_EACH || now < rpc.arrived + method.target),
-        };
+        let again = self.site.method(rpc).effect == Effect::Idempotent || outcome.proves_it_never_ran();
         let ok = outcome == Outcome::Ok;
         if !outcome.proves_it_never_ran() {
             self.site.calls.add(took);
@@ -546,7 +541,7 @@
         self.bulkhead.left(&self.site, outcome == Outcome::TimedOut);
         self.site.put(id, if ok { Place::Running } else { Place::Waiting });
         if !ok && !answered {
-            if again {
+            if again && calls < CALLS_EACH {
                 self.bulkhead.waiting.push(id);
             } else {
                 self.without_call(id, self.breaker.shut(now).unwrap_or(ADVICE), out);
