--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -82,13 +82,13 @@
 }
 
 impl Site {
-    /// A final answer; what has run with an effect is never pushed back.
+    /// A final answer; what has run with an effect is never pushed back, a further try not sent elsewhere again.
     fn push_back(&mut self, id: RpcId, after: Span, out: &mut dyn Outlet) {
         let Some(rpc) = self.get(id) else { return };
         if rpc.ran && self.method(rpc).effect != Effect::Idempotent {
             self.abort(id, out);
         } else if !rpc.answered {
-            out.push_back(id, after, false);
+            out.push_back(id, after, rpc.retry);
             self.answered(id);
         }
     }
--- a/crates/coralstep/tests/scenarios.rs
+++ b/crates/coralstep/tests/scenarios.rs
@@ -19,8 +19,8 @@
     fn admit(&mut self, rpc: RpcId) {
         self.put("admit", rpc);
     }
-    fn push_back(&mut self, rpc: RpcId, _after: Span, _last: bool) {
-        self.put("push_back", rpc);
+    fn push_back(&mut self, rpc: RpcId, _after: Span, last: bool) {
+        self.0.push(format!("push_back {}{}", rpc.0, if last { " last" } else { "" }));
     }
     fn abort(&mut self, rpc: RpcId) {
         self.put("abort", rpc);
