--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -82,7 +82,7 @@
 }
 
 impl Site {
-    /// A final answer; what has run with an effect is never pushed back, a further try not sent elsewhere again.
+    /// A final answer. What has run with an effect is never pushed back; a further try is not sent elsewhere.
     fn push_back(&mut self, id: RpcId, after: Span, out: &mut dyn Outlet) {
         let Some(rpc) = self.get(id) else { return };
         if rpc.ran && self.method(rpc).effect != Effect::Idempotent {
@@ -320,7 +320,7 @@
         greatest(waiting)
     }
 
-    /// Guards against work that would only end in a line for permits; what runs towards its call stands in it.
+    /// Guards against work that would only end in a line for permits; what runs towards a call stands in it.
     fn crowded(&self, site: &Site) -> bool {
         let each = site.calls.mean(GUESS).0.max(1) as f64;
         site.before_calls() as f64 > (self.permits * PERMIT_LINE.0 as f64 / each).max(1.0)
