--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -88,7 +88,7 @@
         if rpc.ran && self.method(rpc).effect != Effect::Idempotent {
             self.abort(id, out);
         } else if !rpc.answered {
-            out.push_back(id, after, rpc.retry);
+            out.push_back(id, after, true);
             self.answered(id);
         }
     }
