Ask not to try elsewhere but where the trouble is the server's own

Own trouble: leaving, standing still, cold, or reading late; there first tries stay free to go elsewhere. Covers overload, a slow dependency and retry storms; may hurt where one server of a healthy fleet is fed far more than the others without being cold or late.

--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -82,13 +82,13 @@
 }
 
 impl Site {
-    /// A final answer. What has run with an effect is never pushed back; a further try is not sent elsewhere.
+    /// A final answer. What has run with an effect is never pushed back.
     fn push_back(&mut self, id: RpcId, after: Span, out: &mut dyn Outlet) {
         let Some(rpc) = self.get(id) else { return };
         if rpc.ran && self.method(rpc).effect != Effect::Idempotent {
             self.abort(id, out);
         } else if !rpc.answered {
-            out.push_back(id, after, true);
+            out.push_back(id, after, rpc.retry || !self.alone);
             self.answered(id);
         }
     }
@@ -117,9 +117,7 @@
             worth += self.goal[2] * each * lag(&self.tenants, tenant);
             worth *= self.within(tenant);
         }
-        if rpc.retry {
-            worth *= RETRIED;
-        }
+        worth *= if rpc.retry { RETRIED } else { 1.0 };
         if self.by_work { worth } else { worth / self.run_time(rpc).0.max(1) as f64 }
     }
 
@@ -502,9 +500,7 @@
         }
         self.site.put(id, Place::Over);
         self.cores.moved = now;
-        if outcome == Outcome::Ok {
-            self.site.record(id, place);
-        }
+        self.site.record(id, place, outcome);
         match outcome {
             Outcome::Ok | Outcome::Error => self.site.answered(id),
             _ => self.site.abort(id, out),
@@ -601,6 +597,9 @@
         let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
         let drowned = self.unread > if self.drowned { 1.0 } else { 2.0 / HOLD_SHARE };
+        // Guards against storms of further tries: elsewhere is better only if the trouble is its own.
+        let cold = self.site.now < self.cores.cold_until;
+        self.site.alone = stalled || drowned || cold || self.guard.noticed.is_some();
         if (stalled, drowned) != (self.cores.stalled, self.drowned) {
             (self.cores.stalled, self.drowned) = (stalled, drowned);
             out.log(format_args!("cores stand still: {stalled}, reading falls behind: {drowned}"));
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -132,6 +132,8 @@
     pub by_work: bool,
     pub run_factor: f64,
     pub may_stop: bool,
+    /// Only this server is in trouble, as far as it can tell.
+    pub alone: bool,
     rpcs: Vec<Option<Rpc>>,
     count: [usize; 6],
     pub used_kb: f64,
@@ -154,6 +156,7 @@
             goal: if terms.goal.iter().sum::<f64>() > 0.0 { terms.goal } else { [1.0, 0.0, 0.0] },
             by_work: terms.worth_by_work,
             run_factor: terms.run_factor.max(1.0),
+            alone: terms.cold,
             may_stop: terms.preemption != Preemption::Off,
             rpcs: Vec::new(),
             count: [0; 6],
@@ -271,9 +274,9 @@
         Some(rpc)
     }
 
-    /// Counts a good end at `place`.
-    pub fn record(&mut self, id: RpcId, place: Place) {
-        let Some(rpc) = self.get(id) else { return };
+    /// Counts an end at `place`, where it was a good one.
+    pub fn record(&mut self, id: RpcId, place: Place, outcome: Outcome) {
+        let Some(rpc) = self.get(id).filter(|_| outcome == Outcome::Ok) else { return };
         let (method, tenant, took) = (rpc.method, rpc.tenant, rpc.on_cores);
         let in_time = !rpc.answered && self.now - rpc.arrived <= self.method(rpc).target;
         if place == Place::Running {
--- a/crates/coralstep/tests/scenarios.rs
+++ b/crates/coralstep/tests/scenarios.rs
@@ -20,7 +20,7 @@
         self.put("admit", rpc);
     }
     fn push_back(&mut self, rpc: RpcId, _after: Span, last: bool) {
-        self.0.push(format!("push_back {}{}", rpc.0, if last { " last" } else { "" }));
+        self.0.push(format!("push_back {}{}", rpc.0, if last { "" } else { " elsewhere" }));
     }
     fn abort(&mut self, rpc: RpcId) {
         self.put("abort", rpc);
