--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -198,10 +198,11 @@
         prior
     }
 
-    /// Begun RPCs that may call and have not done so.
+    /// Begun RPCs that may have to call and have not done so.
     pub fn before_calls(&self) -> usize {
         let before = |rpc: &Rpc| rpc.calls == 0 && matches!(rpc.place, Place::Running | Place::Waiting);
-        self.rpcs.iter().flatten().filter(|rpc| before(rpc) && self.method(rpc).calls).count()
+        let must = |rpc: &Rpc| self.method(rpc).calls && self.method(rpc).skip == 0.0;
+        self.rpcs.iter().flatten().filter(|rpc| before(rpc) && must(rpc)).count()
     }
 
     /// Begun and not over, on the cores or at a call.
