--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -23,8 +23,8 @@
 const COOLDOWN_MOST: Span = Span::ms(30_000);
 /// Calls made for one need at the most: the first and one repeat.
 const CALLS_EACH: u32 = 2;
-/// Patience with a call: in usual times (99 in 100 end sooner), and at the least (a short pause fits in).
-const PATIENCE: u64 = 6;
+/// Patience with a call: in middle times (99 in 100 end sooner), and at the least (a short pause fits in).
+const PATIENCE: u64 = 8;
 const PATIENCE_LEAST: Span = Span::ms(300);
 /// Taken for the usual time of a call or a run before any was seen.
 const GUESS: Span = Span::ms(250);
@@ -677,7 +677,7 @@
         let (site, method) = (&self.site, self.site.method(rpc));
         let left = (rpc.due - site.now) - EARLY;
         let useful = (rpc.arrived + method.target - site.run_time(rpc)) - site.now;
-        let usual = site.calls.mean(GUESS) * PATIENCE;
+        let usual = site.calls.middle(GUESS) * PATIENCE;
         if method.effect == Effect::Idempotent {
             left.min(usual.min(useful).max(PATIENCE_LEAST))
         } else {
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -90,6 +90,17 @@
         }
     }
 
+    /// The bin of the middle one; `guess` while nothing was seen.
+    pub fn middle(&self, guess: Span) -> Span {
+        let half = self.0.iter().sum::<u32>().div_ceil(2);
+        let mut seen = 0;
+        let bin = self.0.iter().position(|bin| {
+            seen += bin;
+            seen >= half.max(1)
+        });
+        bin.map_or(guess, |bin| Span(96 << bin))
+    }
+
     /// `guess` while nothing was seen.
     pub fn mean(&self, guess: Span) -> Span {
         let seen = |bin: usize| u64::from(self.0[bin]);
