Calls with an effect wait for the target instead of until they are due

Exception to the design's patience; it gives up the late part of the criticality. May hurt where calls are slower than the target and still end.

--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -672,17 +672,15 @@
         method.effect != Effect::Idempotent && self.site.now + left < rpc.arrived + method.target
     }
 
-    /// How long a call may take. What can be repeated or left out gives up in time for that.
+    /// How long a call may take. What can be repeated or left out gives up in time for that; an effect waits
+    /// for its target, but not until it is due: lost calls would hold all permits.
     fn patience(&self, rpc: &Rpc) -> Span {
         let (site, method) = (&self.site, self.site.method(rpc));
         let left = (rpc.due - site.now) - EARLY;
         let useful = (rpc.arrived + method.target - site.run_time(rpc)) - site.now;
         let usual = site.calls.middle(GUESS) * PATIENCE;
-        if method.effect == Effect::Idempotent {
-            left.min(usual.min(useful).max(PATIENCE_LEAST))
-        } else {
-            left
-        }
+        let most = if method.effect == Effect::Idempotent { usual.min(useful) } else { usual.max(useful) };
+        left.min(most.max(PATIENCE_LEAST))
     }
 
     /// Moves on whatever can move: calls first, for they hold memory, then new runs.
