--- a/crates/coralstep/tests/scenarios.rs
+++ b/crates/coralstep/tests/scenarios.rs
@@ -158,7 +158,10 @@
             }
             "settled" => server.settled(now, id(), outcome(words[2]), out),
             "needs_call" => server.needs_call(now, id(), out),
-            "called" => server.called(now, id(), outcome(words[2]), Span::ms(1), out),
+            "called" => {
+                let took = pairs(words).get("took").map_or(Span::ms(1), |took| ms(took));
+                server.called(now, id(), outcome(words[2]), took, out);
+            }
             // So many calls of one RPC, as it asks for them and as they end.
             "calls" => {
                 for call in 0..number(words[2]) as u32 {
