--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -24,7 +24,7 @@
 /// Calls made for one need at the most: the first and one repeat.
 const CALLS_EACH: u32 = 2;
 /// Patience with a call: in middle times (99 in 100 end sooner), and at the least (a short pause fits in).
-const PATIENCE: u64 = 12;
+const PATIENCE: u64 = 8;
 const PATIENCE_LEAST: Span = Span::ms(300);
 /// Taken for the usual time of a call or a run before any was seen.
 const GUESS: Span = Span::ms(250);
@@ -65,7 +65,7 @@
 /// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
 const RETRIED: f64 = 0.25;
 /// RPCs for each core that callers together may have here, where the free value is a credit.
-const CREDIT: f64 = 4.0;
+const CREDIT: f64 = 2.5;
 
 enum Step {
     Pass,
