--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -65,7 +65,7 @@
 /// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
 const RETRIED: f64 = 0.25;
 /// RPCs for each core that callers together may have here, where the free value is a credit.
-const CREDIT: f64 = 6.0;
+const CREDIT: f64 = 4.0;
 
 enum Step {
     Pass,
