Permits toward a tier grow to three a core while its calls stay fast

Lost calls load nobody; a tier that is really crowded shows in the middle call time and takes the permits back. May hurt where a tier fails without slowing down.

--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -40,6 +40,8 @@
 const SHARE_MOST: f64 = 0.75;
 /// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
 const CALLS_KNOWN: u64 = 40;
+/// Permits toward a tier for each core, at the most: lost calls hold theirs until a time-out.
+const TIER_MOST: f64 = 3.0;
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
 /// Part of the target that an RPC may be held; half, the design's start, left no time for another server.
@@ -285,6 +287,7 @@
     permits: f64,
     /// This server's part of what a shared dependency survives.
     share: Option<f64>,
+    range: (f64, f64),
     linger: Span,
     lingering: Vec<Time>,
     waiting: Vec<RpcId>,
@@ -334,13 +337,14 @@
     /// Guards against a shared dependency that all crowd: it slows long before it falls.
     fn review(&mut self, site: &mut Site) {
         site.calls.fade(CALLS_KNOWN);
-        let Some(share) = self.share else { return };
         self.in_hand(site);
-        let usual = site.calls.mean(Span(self.best)).0;
+        // Toward a tier the middle: calls that get lost on the way hold permits, but don't crowd it.
+        let (calls, guess) = (&site.calls, Span(self.best));
+        let usual = if self.share.is_some() { calls.mean(guess).0 } else { calls.middle(guess).0 };
         self.best = if self.best == 0 { usual } else { self.best.min(usual) };
         let crowded = usual as f64 > self.best as f64 * CROWDED;
-        let next = if crowded { self.permits * 0.95 } else { self.permits + share * 0.01 };
-        self.permits = next.clamp(share * SHARE_LEAST, share * SHARE_MOST);
+        let next = if crowded { self.permits * 0.95 } else { self.permits + self.range.1 * 0.01 };
+        self.permits = next.clamp(self.range.0, self.range.1);
     }
 }
 
@@ -434,6 +438,7 @@
 impl Server {
     pub fn start(terms: &Terms, seed: u64, now: Time, out: &mut dyn Outlet) -> Server {
         let cores = terms.cores.max(1) as usize;
+        let all = cores as f64;
         let share = terms.below.share();
         let warm_after = if terms.cold { terms.warm_after } else { Span::ZERO };
         let (grace, max_advice) = (terms.drain_grace, terms.max_advice);
@@ -454,8 +459,10 @@
                 stalled: false,
             },
             bulkhead: Bulkhead {
-                permits: share.map_or(cores as f64, |share| share * SHARE_FIRST),
+                permits: share.map_or(all, |share| share * SHARE_FIRST),
                 share,
+                range: share
+                    .map_or((all, all * TIER_MOST), |share| (share * SHARE_LEAST, share * SHARE_MOST)),
                 linger: share.map_or(Span::ZERO, |_| terms.linger),
                 counted: now,
                 ..Bulkhead::default()
@@ -621,7 +628,9 @@
         // No answer that could still be given earns anything.
         let worthless = idempotent && method.late == 0.0 && age >= method.target;
         let waited = now - rpc.since >= PERMIT_WAIT || age + self.site.run_time(rpc) >= method.target;
-        let shut = self.breaker.shut(now).filter(|left| !self.outlasts(rpc, *left));
+        // Guards against an error for what has run with an effect, where the cooldown ends before its target.
+        let shut =
+            self.breaker.shut(now).filter(|left| idempotent || now + *left >= rpc.arrived + method.target);
         match rpc.place {
             Place::Held if leaving => self.site.push_back(id, self.guard.max_advice, out),
             Place::Held if due || Hold::part(&self.site, rpc) >= 1.0 => self.site.push_back(id, ADVICE, out),
@@ -666,12 +675,6 @@
         }
     }
 
-    /// Guards against an error for what has run with an effect, where the cooldown ends before its target.
-    fn outlasts(&self, rpc: &Rpc, left: Span) -> bool {
-        let method = self.site.method(rpc);
-        method.effect != Effect::Idempotent && self.site.now + left < rpc.arrived + method.target
-    }
-
     /// How long a call may take. What can be repeated or left out gives up in time for that; an effect waits
     /// for its target, but not until it is due: lost calls would hold all permits.
     fn patience(&self, rpc: &Rpc) -> Span {
