--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -534,9 +534,8 @@
     pub fn called(&mut self, now: Time, id: RpcId, outcome: Outcome, took: Span, out: &mut dyn Outlet) {
         self.site.now = now;
         let Some(rpc) = self.site.get(id).filter(|rpc| rpc.place == Place::Calling) else { return };
-        let (calls, answered) = (rpc.calls, rpc.answered);
+        let (calls, answered, ok) = (rpc.calls, rpc.answered, outcome == Outcome::Ok);
         let again = self.site.method(rpc).effect == Effect::Idempotent || outcome.proves_it_never_ran();
-        let ok = outcome == Outcome::Ok;
         if !outcome.proves_it_never_ran() {
             self.site.calls.add(took);
         }
