Busy cores that read nothing for long count as reading late

Now they leave the list until their cores are free. Covers any line of dead work before the server; needs the gauge of the cores, and does nothing without it.

--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -338,7 +338,6 @@
     fn review(&mut self, site: &mut Site) {
         site.calls.fade(CALLS_KNOWN);
         self.in_hand(site);
-        // Toward a tier the middle: calls that get lost on the way hold permits, but don't crowd it.
         let (calls, guess) = (&site.calls, Span(self.best));
         let usual = if self.share.is_some() { calls.mean(guess).0 } else { calls.middle(guess).0 };
         self.best = if self.best == 0 { usual } else { self.best.min(usual) };
@@ -589,6 +588,9 @@
         if self.beats.is_multiple_of(REVIEW.0 / BEAT.0) {
             self.bulkhead.review(&mut self.site);
             let (waits, busy) = (!self.hold.held.is_empty(), gauges.busy.unwrap_or(1.0));
+            // Guards against reading only what its callers have given up: busy for nothing.
+            let stuck = gauges.busy > Some(0.9) && self.site.started() == 0 && now - self.site.read > STALL;
+            self.unread = if stuck { 2.5 / HOLD_SHARE } else { self.unread };
             self.cores.adjust(&self.site, waits, busy, self.unread);
             self.advertise(out);
         }
@@ -597,9 +599,8 @@
 
     /// Guards against a server that reads and holds but gets nothing done, whatever stopped its cores.
     fn watch(&mut self, out: &mut dyn Outlet) {
-        if self.site.count(Place::Running) < self.cores.cores {
-            self.cores.moved = self.site.now;
-        }
+        let idle = self.site.count(Place::Running) < self.cores.cores;
+        self.cores.moved = if idle { self.site.now } else { self.cores.moved };
         let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
         let drowned = self.unread > if self.drowned { 1.0 } else { 2.0 / HOLD_SHARE };
@@ -674,8 +675,7 @@
         }
     }
 
-    /// How long a call may take. What can be repeated or left out gives up in time for that; an effect waits
-    /// for its target, but not until it is due: lost calls would hold all permits.
+    /// How long a call may take. Guards against lost calls in all permits until their RPCs are due.
     fn patience(&self, rpc: &Rpc) -> Span {
         let (site, method) = (&self.site, self.site.method(rpc));
         let left = (rpc.due - site.now) - EARLY;
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -129,6 +129,8 @@
 
 pub(crate) struct Site {
     pub now: Time,
+    /// When an RPC was last read.
+    pub read: Time,
     pub methods: Vec<Method>,
     /// Time on the cores of each method's runs.
     pub runs: Vec<Histogram>,
@@ -156,6 +158,7 @@
     pub fn new(terms: &Terms, seed: u64, now: Time) -> Site {
         Site {
             now,
+            read: now,
             methods: terms.methods.clone(),
             runs: vec![Histogram::default(); terms.methods.len()],
             calls: Histogram::default(),
@@ -244,6 +247,7 @@
             self.asked[rpc.method].asked += 1.0;
             rpc.tenant.inspect(|tenant| self.tenants[*tenant].asked += 1.0);
         }
+        self.read = self.now;
         self.used_kb += rpc.held_kb;
         self.count[Place::Held as usize] += 1;
         let index = arrival.id.0 as usize;
--- a/crates/coralstep/tests/scenarios.rs
+++ b/crates/coralstep/tests/scenarios.rs
@@ -122,6 +122,7 @@
     terms: Terms,
     server: Option<Server>,
     now: Time,
+    busy: Option<f64>,
     answers: Answers,
     expected: usize,
 }
@@ -130,6 +131,7 @@
     fn line(&mut self, words: &[&str]) {
         match words[0] {
             "terms" => return set(&mut self.terms, &words[1..]),
+            "busy" => return self.busy = Some(number(words[1])),
             "method" => return self.terms.methods.push(method(&words[1..])),
             "=>" => {
                 let wanted = words[1..].join(" ");
@@ -179,7 +181,7 @@
                 let until = now + ms(words[1]);
                 while self.now < until {
                     self.now = (self.now + Span::ms(20)).min(until);
-                    server.timer(self.now, Gauges::default(), out);
+                    server.timer(self.now, Gauges { busy: self.busy, ..Gauges::default() }, out);
                 }
             }
             other => panic!("no step {other}"),
@@ -193,6 +195,7 @@
         terms: Terms::default(),
         server: None,
         now: Time(1_000_000),
+        busy: None,
         answers: Answers::default(),
         expected: 0,
     };
