--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -590,7 +590,7 @@
             let (waits, busy) = (!self.hold.held.is_empty(), gauges.busy.unwrap_or(1.0));
             // Guards against reading only what its callers have given up: busy for nothing.
             let stuck = gauges.busy > Some(0.9) && self.site.started() == 0 && now - self.site.read > STALL;
-            self.unread = if stuck { 2.5 / HOLD_SHARE } else { self.unread };
+            self.unread = if stuck { 3.0 / HOLD_SHARE } else { self.unread };
             self.cores.adjust(&self.site, waits, busy, self.unread);
             self.advertise(out);
         }
