--- a/crates/coralstep-adapter/src/terms.rs
+++ b/crates/coralstep-adapter/src/terms.rs
@@ -118,6 +118,7 @@
         callers: conf.amount("domain.callers")? as u32,
         advert,
         preemption,
+        caller_idle: conf.down("domain.caller_idle")?,
         max_advice: conf.down("limits.max_retry_after")?,
         marks_retries: conf.flag("clients.marks_retry")?,
         worth_by_work: conf.text("worth_by") == "work",
--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -66,6 +66,11 @@
 const WORST_BAND: f64 = 0.1;
 /// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
 const RETRIED: f64 = 0.25;
+/// Open connections for each core beyond which idle ones close sooner: each takes some of the cores, whatever
+/// the table holds, and a caller that finds it full gets nothing. Several for each RPC a core can have in hand.
+const CONNECTIONS: f64 = 8.0;
+/// The shortest time that an idle connection is left: a caller's next RPC may come at once.
+const IDLE_LEAST: Span = Span::ms(100);
 /// RPCs for each core that callers together may have here, where the free value is a credit.
 const CREDIT: f64 = 4.0;
 
@@ -428,6 +433,9 @@
     advert: Advert,
     callers: f64,
     shed: f64,
+    /// How long a connection may be idle, and the most that callers let it be.
+    idle: Span,
+    max_idle: Span,
     /// The longest that work has waited unread of late, as a part of its limit.
     unread: f64,
     drowned: bool,
@@ -470,6 +478,8 @@
             advert: terms.advert,
             callers: f64::from(terms.callers.max(1)),
             shed: 0.0,
+            idle: terms.caller_idle,
+            max_idle: terms.caller_idle,
             unread: 0.0,
             drowned: false,
             beats: 0,
@@ -593,6 +603,7 @@
             self.unread = if stuck { 3.0 / HOLD_SHARE } else { self.unread };
             self.cores.adjust(&self.site, waits, busy, self.unread);
             self.advertise(out);
+            self.make_room(gauges.connections.unwrap_or(0.0), out);
         }
         self.pump(out);
     }
@@ -714,6 +725,16 @@
         }
     }
 
+    /// Guards against a table full of idle connections: many callers with little traffic each keep one open.
+    fn make_room(&mut self, open: f64, out: &mut dyn Outlet) {
+        let step = if open > self.cores.cores as f64 * CONNECTIONS { 0.8 } else { 1.05 };
+        let idle = self.idle.share(step).max(IDLE_LEAST).min(self.max_idle);
+        if idle != self.idle {
+            self.idle = idle;
+            out.idle_limit(idle);
+        }
+    }
+
     /// The free value: less is asked for while work waits long, nothing while leaving or standing still.
     fn advertise(&mut self, out: &mut dyn Outlet) {
         // Guards against a line nobody has read yet; a slow server sees it only by the age of what it reads.
--- a/crates/coralstep/src/door.rs
+++ b/crates/coralstep/src/door.rs
@@ -164,6 +164,8 @@
     pub advert: Advert,
     pub preemption: Preemption,
     pub max_advice: Span,
+    /// How long callers keep an idle connection at the most.
+    pub caller_idle: Span,
     pub marks_retries: bool,
     pub worth_by_work: bool,
     /// Weights of the whole, the worst-served method and the worst-served tenant.
