--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -726,8 +726,10 @@
     }
 
     /// Guards against a table full of idle connections: many callers with little traffic each keep one open.
+    /// While work is read too late the table may fill: what it keeps out need not be read.
     fn make_room(&mut self, open: f64, out: &mut dyn Outlet) {
-        let step = if open > self.cores.cores as f64 * CONNECTIONS { 0.8 } else { 1.05 };
+        let full = open > self.cores.cores as f64 * CONNECTIONS && self.unread < 1.0;
+        let step = if full { 0.8 } else { 1.05 };
         let idle = self.idle.share(step).max(IDLE_LEAST).min(self.max_idle);
         if idle != self.idle {
             self.idle = idle;
