--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -138,6 +138,8 @@
     pub asked: Vec<Tally>,
     pub tenants: Vec<Tally>,
     pub tenant_rates: Vec<f64>,
+    /// All tries, and the further ones among them.
+    pub tries: Tally,
     /// The time that the tallies cover.
     pub tallied: Span,
     pub over_share: f64,
@@ -164,6 +166,7 @@
             calls: Histogram::default(),
             asked: vec![Tally::default(); terms.methods.len()],
             tenants: vec![Tally::default(); terms.tenant_rates.len()],
+            tries: Tally::default(),
             tenant_rates: terms.tenant_rates.clone(),
             tallied: Span::ZERO,
             over_share: terms.over_share,
@@ -247,6 +250,8 @@
             self.asked[rpc.method].asked += 1.0;
             rpc.tenant.inspect(|tenant| self.tenants[*tenant].asked += 1.0);
         }
+        self.tries.asked += 1.0;
+        self.tries.ok += f64::from(u8::from(arrival.retry));
         self.read = self.now;
         self.used_kb += rpc.held_kb;
         self.count[Place::Held as usize] += 1;
@@ -306,6 +311,7 @@
 
     pub fn halve(&mut self) {
         self.tallied = self.tallied.share(0.5);
+        self.tries.halve();
         self.runs.iter_mut().for_each(Histogram::halve);
         self.asked.iter_mut().chain(&mut self.tenants).for_each(Tally::halve);
     }
