--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -71,9 +71,6 @@
 const CONNECTIONS: f64 = 8.0;
 /// The shortest time that an idle connection is left: a caller's next RPC may come at once.
 const IDLE_LEAST: Span = Span::ms(100);
-/// Part of the tries read that may be further ones before pushbacks ask not to try elsewhere, of so many at least.
-const FURTHER: f64 = 0.3;
-const TRIES_FEW: f64 = 10.0;
 /// RPCs for each core that callers together may have here, where the free value is a credit.
 const CREDIT: f64 = 4.0;
 
@@ -98,9 +95,7 @@
         if rpc.ran && self.method(rpc).effect != Effect::Idempotent {
             self.abort(id, out);
         } else if !rpc.answered {
-            // Guards against storms of further tries; where few come, the next server has room more often than not.
-            let storm = self.tries.ok > self.tries.asked.max(TRIES_FEW) * FURTHER;
-            out.push_back(id, after, storm && (rpc.retry || !self.alone));
+            out.push_back(id, after, rpc.retry || !self.alone);
             self.answered(id);
         }
     }
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -138,8 +138,6 @@
     pub asked: Vec<Tally>,
     pub tenants: Vec<Tally>,
     pub tenant_rates: Vec<f64>,
-    /// All tries, and the further ones among them.
-    pub tries: Tally,
     /// The time that the tallies cover.
     pub tallied: Span,
     pub over_share: f64,
@@ -166,7 +164,6 @@
             calls: Histogram::default(),
             asked: vec![Tally::default(); terms.methods.len()],
             tenants: vec![Tally::default(); terms.tenant_rates.len()],
-            tries: Tally::default(),
             tenant_rates: terms.tenant_rates.clone(),
             tallied: Span::ZERO,
             over_share: terms.over_share,
@@ -250,8 +247,6 @@
             self.asked[rpc.method].asked += 1.0;
             rpc.tenant.inspect(|tenant| self.tenants[*tenant].asked += 1.0);
         }
-        self.tries.asked += 1.0;
-        self.tries.ok += f64::from(u8::from(arrival.retry));
         self.read = self.now;
         self.used_kb += rpc.held_kb;
         self.count[Place::Held as usize] += 1;
@@ -311,7 +306,6 @@
 
     pub fn halve(&mut self) {
         self.tallied = self.tallied.share(0.5);
-        self.tries.halve();
         self.runs.iter_mut().for_each(Histogram::halve);
         self.asked.iter_mut().chain(&mut self.tenants).for_each(Tally::halve);
     }
