--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -40,6 +40,8 @@
 const SHARE_MOST: f64 = 0.75;
 /// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
 const CALLS_KNOWN: u64 = 40;
+/// Calls known before their usual time may count as the best: a mean of fewer is luck.
+const CALLS_BEST: u64 = 20;
 /// Permits toward a tier for each core, at the most: lost calls hold theirs until a time-out.
 const TIER_MOST: f64 = 3.0;
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
@@ -345,8 +347,10 @@
         self.in_hand(site);
         let (calls, guess) = (&site.calls, Span(self.best));
         let usual = if self.share.is_some() { calls.mean(guess).0 } else { calls.middle(guess).0 };
-        self.best = if self.best == 0 { usual } else { self.best.min(usual) };
-        let crowded = usual as f64 > self.best as f64 * CROWDED;
+        // Guards against a best that was one lucky call: lightly fed servers know few.
+        let known = calls.count() >= CALLS_BEST;
+        self.best = if known && (self.best == 0 || usual < self.best) { usual } else { self.best };
+        let crowded = self.best > 0 && usual as f64 > self.best as f64 * CROWDED;
         let next = if crowded { self.permits * 0.95 } else { self.permits + self.range.1 * 0.01 };
         self.permits = next.clamp(self.range.0, self.range.1);
     }
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -85,11 +85,15 @@
 
     /// Halves itself where it holds more than `most`.
     pub fn fade(&mut self, most: u64) {
-        if self.0.iter().map(|bin| u64::from(*bin)).sum::<u64>() / 8 > most {
+        if self.count() > most {
             self.halve();
         }
     }
 
+    pub fn count(&self) -> u64 {
+        self.0.iter().map(|bin| u64::from(*bin)).sum::<u64>() / 8
+    }
+
     /// The bin of the middle one; `guess` while nothing was seen.
     pub fn middle(&self, guess: Span) -> Span {
         let half = self.0.iter().sum::<u32>().div_ceil(2);
