--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -33,11 +33,13 @@
 const PERMIT_ADVICE: Span = Span::ms(5_000);
 /// The line for permits that new work may join: what they serve in a quarter of the wait.
 const PERMIT_LINE: Span = Span::ms(250);
+/// Permit time that may be saved up for a clump of calls; the rule looks at the mean of several seconds.
+const PERMIT_BANK: Span = Span::ms(1_000);
 /// Parts of its share of a shared dependency that a server uses: at first, at the least while calls take
 /// long, at the most. The last leaves room for calls of servers that died.
 const SHARE_FIRST: f64 = 0.5;
 const SHARE_LEAST: f64 = 0.25;
-const SHARE_MOST: f64 = 0.75;
+const SHARE_MOST: f64 = 0.5;
 /// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
 const CALLS_KNOWN: u64 = 40;
 /// Calls known before their usual time may count as the best: a mean of fewer is luck.
@@ -46,6 +48,7 @@
 const TIER_MOST: f64 = 3.0;
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
+const CROWDED_SHARED: f64 = 1.25;
 /// Part of the target that an RPC may be held; half, the design's start, left no time for another server.
 const HOLD_SHARE: f64 = 0.25;
 /// Part of the survivable crowd that is ever used: calls that come back and reading need the rest.
@@ -310,7 +313,7 @@
     fn in_hand(&mut self, site: &Site) -> f64 {
         let in_hand = (site.count(Place::Calling) + self.lingering.len()) as f64;
         let more = (self.permits - in_hand) * (site.now - self.counted).0 as f64;
-        self.credit = (self.credit + more).min(self.permits * PERMIT_LINE.0 as f64);
+        self.credit = (self.credit + more).min(self.permits * PERMIT_BANK.0 as f64);
         self.counted = site.now;
         self.lingering.retain(|until| *until > site.now);
         in_hand
@@ -350,7 +353,8 @@
         // Guards against a best that was one lucky call: lightly fed servers know few.
         let known = calls.count() >= CALLS_BEST;
         self.best = if known && (self.best == 0 || usual < self.best) { usual } else { self.best };
-        let crowded = self.best > 0 && usual as f64 > self.best as f64 * CROWDED;
+        let slow = if self.share.is_some() { CROWDED_SHARED } else { CROWDED };
+        let crowded = self.best > 0 && usual as f64 > self.best as f64 * slow;
         let next = if crowded { self.permits * 0.95 } else { self.permits + self.range.1 * 0.01 };
         self.permits = next.clamp(self.range.0, self.range.1);
     }
