--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -38,8 +38,8 @@
 /// Parts of its share of a shared dependency that a server uses: at first, at the least while calls take
 /// long, at the most. The last leaves room for calls of servers that died.
 const SHARE_FIRST: f64 = 0.25;
-const SHARE_LEAST: f64 = 0.15;
-const SHARE_MOST: f64 = 0.5;
+const SHARE_LEAST: f64 = 0.25;
+const SHARE_MOST: f64 = 0.3;
 /// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
 const CALLS_KNOWN: u64 = 40;
 /// Calls known before their usual time may count as the best: a mean of fewer is luck.
@@ -355,8 +355,7 @@
         self.best = if known && (self.best == 0 || usual < self.best) { usual } else { self.best };
         let slow = if self.share.is_some() { CROWDED_SHARED } else { CROWDED };
         let crowded = self.best > 0 && usual as f64 > self.best as f64 * slow;
-        let more = if self.waiting.is_empty() { 0.0 } else { self.range.1 * 0.01 };
-        let next = if crowded { self.permits * 0.95 } else { self.permits + more };
+        let next = if crowded { self.permits * 0.95 } else { self.permits + self.range.1 * 0.01 };
         self.permits = next.clamp(self.range.0, self.range.1);
     }
 }
