--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -39,7 +39,7 @@
 /// long, at the most. The last leaves room for calls of servers that died.
 const SHARE_FIRST: f64 = 0.25;
 const SHARE_LEAST: f64 = 0.25;
-const SHARE_MOST: f64 = 0.3;
+const SHARE_MOST: f64 = 0.5;
 /// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
 const CALLS_KNOWN: u64 = 40;
 /// Calls known before their usual time may count as the best: a mean of fewer is luck.
