--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -41,14 +41,14 @@
 const SHARE_LEAST: f64 = 0.25;
 const SHARE_MOST: f64 = 0.5;
 /// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
-const CALLS_KNOWN: u64 = 40;
+const CALLS_KNOWN: u64 = 12;
 /// Calls known before their usual time may count as the best: a mean of fewer is luck.
-const CALLS_BEST: u64 = 20;
+const CALLS_BEST: u64 = 8;
 /// Permits toward a tier for each core, at the most: lost calls hold theirs until a time-out.
 const TIER_MOST: f64 = 3.0;
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
-const CROWDED_SHARED: f64 = 1.25;
+const CROWDED_SHARED: f64 = 2.0;
 /// Part of the target that an RPC may be held; half, the design's start, left no time for another server.
 const HOLD_SHARE: f64 = 0.25;
 /// Part of the survivable crowd that is ever used: calls that come back and reading need the rest.
