--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -39,16 +39,16 @@
 /// long, at the most. The last leaves room for calls of servers that died.
 const SHARE_FIRST: f64 = 0.25;
 const SHARE_LEAST: f64 = 0.25;
-const SHARE_MOST: f64 = 0.5;
+const SHARE_MOST: f64 = 0.75;
 /// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
-const CALLS_KNOWN: u64 = 12;
+const CALLS_KNOWN: u64 = 40;
 /// Calls known before their usual time may count as the best: a mean of fewer is luck.
-const CALLS_BEST: u64 = 8;
+const CALLS_BEST: u64 = 20;
 /// Permits toward a tier for each core, at the most: lost calls hold theirs until a time-out.
 const TIER_MOST: f64 = 3.0;
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
-const CROWDED_SHARED: f64 = 2.0;
+const CROWDED_SHARED: f64 = 1.25;
 /// Part of the target that an RPC may be held; half, the design's start, left no time for another server.
 const HOLD_SHARE: f64 = 0.25;
 /// Part of the survivable crowd that is ever used: calls that come back and reading need the rest.
@@ -355,7 +355,9 @@
         self.best = if known && (self.best == 0 || usual < self.best) { usual } else { self.best };
         let slow = if self.share.is_some() { CROWDED_SHARED } else { CROWDED };
         let crowded = self.best > 0 && usual as f64 > self.best as f64 * slow;
-        let next = if crowded { self.permits * 0.95 } else { self.permits + self.range.1 * 0.01 };
+        // Guards against permits that grew in a lull and all fill at once, on every server.
+        let more = if self.share.is_some() && self.waiting.is_empty() { 0.0 } else { self.range.1 * 0.003 };
+        let next = if crowded { self.permits * 0.95 } else { self.permits + more };
         self.permits = next.clamp(self.range.0, self.range.1);
     }
 }
