--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -40,8 +40,8 @@
 const SHARE_MOST: f64 = 0.75;
 /// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
 const CALLS_KNOWN: u64 = 40;
-/// Calls known before their usual time may count as the best: a mean of fewer is luck.
-const CALLS_BEST: u64 = 20;
+/// And at the least, however few cores: one lost call may not take half of a small server's permits.
+const TIER_LEAST: f64 = 4.0;
 /// Permits toward a tier for each core, at the most: lost calls hold theirs until a time-out.
 const TIER_MOST: f64 = 3.0;
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
@@ -347,10 +347,8 @@
         self.in_hand(site);
         let (calls, guess) = (&site.calls, Span(self.best));
         let usual = if self.share.is_some() { calls.mean(guess).0 } else { calls.middle(guess).0 };
-        // Guards against a best that was one lucky call. A shared dependency is better served by a low one.
-        let known = self.share.is_some() || calls.count() >= CALLS_BEST;
-        self.best = if known && (self.best == 0 || usual < self.best) { usual } else { self.best };
-        let crowded = self.best > 0 && usual as f64 > self.best as f64 * CROWDED;
+        self.best = if self.best == 0 { usual } else { self.best.min(usual) };
+        let crowded = usual as f64 > self.best as f64 * CROWDED;
         let next = if crowded { self.permits * 0.95 } else { self.permits + self.range.1 * 0.01 };
         self.permits = next.clamp(self.range.0, self.range.1);
     }
@@ -472,8 +470,9 @@
             bulkhead: Bulkhead {
                 permits: share.map_or(all, |share| share * SHARE_FIRST),
                 share,
-                range: share
-                    .map_or((all, all * TIER_MOST), |share| (share * SHARE_LEAST, share * SHARE_MOST)),
+                range: share.map_or((all.max(TIER_LEAST), all.max(TIER_LEAST) * TIER_MOST), |share| {
+                    (share * SHARE_LEAST, share * SHARE_MOST)
+                }),
                 linger: share.map_or(Span::ZERO, |_| terms.linger),
                 counted: now,
                 ..Bulkhead::default()
