--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -56,10 +56,8 @@
 const MEMORY_TOKENS: f64 = 0.75;
 /// A token stays known this much longer than its window, against rounding and the batch interval.
 const TOKEN_EXTRA: Span = Span::ms(50);
-/// Full cores that finish nothing for so long stand still, and in the time that so many runs usually need:
-/// on few cores two long runs at once are ordinary.
+/// Full cores that finish nothing for so long stand still: several times any ordinary run.
 const STALL: Span = Span::ms(1_500);
-const STALL_RUNS: u64 = 12;
 /// Tallies and histograms are halved this often: about three of the longest targets.
 const HALVE: Span = Span::ms(8_000);
 /// The free value and the bulkhead are set anew this often: slower than answers, faster than a hold fills.
@@ -266,14 +264,10 @@
 impl Cores {
     /// Started RPCs that the cores survive should all of them come back from their calls at once.
     fn ceiling(&self, now: Time) -> usize {
-        let crowd = self.cores as f64 * (1.0 + (self.crowd - 1.0) * self.speed(now)) * CROWD_USED;
-        (crowd as usize).max(1)
-    }
-
-    /// The least part of its full speed that it has by now.
-    fn speed(&self, now: Time) -> f64 {
         let left = (self.cold_until - now).0 as f64 / self.warm_after.0.max(1) as f64;
-        1.0 - (1.0 - self.cold_speed) * left.min(1.0)
+        let speed = 1.0 - (1.0 - self.cold_speed) * left.min(1.0);
+        let crowd = self.cores as f64 * (1.0 + (self.crowd - 1.0) * speed) * CROWD_USED;
+        (crowd as usize).max(1)
     }
 
     fn room(&self, site: &Site) -> bool {
@@ -619,15 +613,13 @@
 
     /// Guards against a server that reads and holds but gets nothing done, whatever stopped its cores.
     fn watch(&mut self, out: &mut dyn Outlet) {
-        let (now, running) = (self.site.now, self.site.count(Place::Running));
-        self.cores.moved = if running < self.cores.cores { now } else { self.cores.moved };
-        let means = self.site.runs.iter().map(|runs| runs.mean(GUESS).0).max().unwrap_or(0);
-        let ordinary = Span(means * STALL_RUNS / running.max(1) as u64).share(1.0 / self.cores.speed(now));
-        let stalled = now - self.cores.moved > STALL.max(ordinary);
+        let idle = self.site.count(Place::Running) < self.cores.cores;
+        self.cores.moved = if idle { self.site.now } else { self.cores.moved };
+        let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
         let drowned = self.unread > if self.drowned { 1.0 } else { 2.0 / HOLD_SHARE };
         // Guards against storms of further tries: elsewhere is better only if the trouble is its own.
-        let cold = now < self.cores.cold_until;
+        let cold = self.site.now < self.cores.cold_until;
         self.site.alone = stalled || drowned || cold || self.guard.noticed.is_some();
         if (stalled, drowned) != (self.cores.stalled, self.drowned) {
             (self.cores.stalled, self.drowned) = (stalled, drowned);
