--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -229,9 +229,11 @@
 }
 
 impl Hold {
-    /// The part of its limit that an RPC has been here; over from 1 on.
+    /// The part of its limit that an RPC has been here; over from 1 on. Guards against pushing back at once what
+    /// took long to read: where reading is slow, waiting unread counts half.
     fn part(site: &Site, rpc: &Rpc) -> f64 {
-        (site.now - rpc.arrived).0 as f64 / (site.method(rpc).target.0.max(1) as f64 * HOLD_SHARE)
+        let waited = (site.now - rpc.arrived).max((site.now - rpc.since) * 2);
+        waited.0 as f64 / (site.method(rpc).target.0.max(1) as f64 * HOLD_SHARE * 2.0)
     }
 
     /// The most valuable of those that `may` start.
