--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -232,8 +232,12 @@
     /// The part of its limit that an RPC has been here; over from 1 on. Guards against pushing back at once what
     /// took long to read: where reading is slow, waiting unread counts half.
     fn part(site: &Site, rpc: &Rpc) -> f64 {
-        let waited = (site.now - rpc.arrived).max((site.now - rpc.since) * 2);
-        waited.0 as f64 / (site.method(rpc).target.0.max(1) as f64 * HOLD_SHARE * 2.0)
+        let unread = (rpc.since - rpc.arrived).0 as f64 / 2.0;
+        Hold::of_limit(site, rpc, Span(unread as u64).max(site.now - rpc.since))
+    }
+
+    fn of_limit(site: &Site, rpc: &Rpc, span: Span) -> f64 {
+        span.0 as f64 / (site.method(rpc).target.0.max(1) as f64 * HOLD_SHARE)
     }
 
     /// The most valuable of those that `may` start.
@@ -496,7 +500,7 @@
         let (site, id) = (&mut self.site, arrival.id);
         site.now = now;
         site.arrive(&arrival);
-        self.unread = site.get(id).map_or(0.0, |rpc| Hold::part(site, rpc)).max(self.unread);
+        self.unread = site.get(id).map_or(0.0, |rpc| Hold::of_limit(site, rpc, arrival.age)).max(self.unread);
         let step = match self.repeats.enter(site, id, arrival.prior, out) {
             Step::Pass => self.guard.enter(site, id, self.cores.stalled, out),
             step => step,
