--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -233,7 +233,7 @@
     /// took long to read: where reading is slow, waiting unread counts half.
     fn part(site: &Site, rpc: &Rpc) -> f64 {
         let unread = (rpc.since - rpc.arrived).0 as f64 / 2.0;
-        Hold::of_limit(site, rpc, Span(unread as u64) + (site.now - rpc.since))
+        Hold::of_limit(site, rpc, Span(unread as u64).max(site.now - rpc.since))
     }
 
     fn of_limit(site: &Site, rpc: &Rpc, span: Span) -> f64 {
@@ -250,7 +250,7 @@
     /// The longest part of its limit that any of them has waited.
     fn waited(&self, site: &Site) -> f64 {
         let held = self.held.iter().filter_map(|id| site.get(*id));
-        held.map(|rpc| Hold::part(site, rpc)).fold(0.0, f64::max)
+        held.map(|rpc| Hold::of_limit(site, rpc, site.now - rpc.arrived)).fold(0.0, f64::max)
     }
 }
 
