--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -250,7 +250,7 @@
     /// The longest part of its limit that any of them has waited.
     fn waited(&self, site: &Site) -> f64 {
         let held = self.held.iter().filter_map(|id| site.get(*id));
-        held.map(|rpc| Hold::of_limit(site, rpc, site.now - rpc.arrived)).fold(0.0, f64::max)
+        held.map(|rpc| Hold::part(site, rpc)).fold(0.0, f64::max)
     }
 }
 
