--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -71,6 +71,8 @@
 /// Open connections for each core beyond which idle ones close sooner: each takes some of the cores, whatever
 /// the table holds, and a caller that finds it full gets nothing. Several for each RPC a core can have in hand.
 const CONNECTIONS: f64 = 16.0;
+/// Part of the tries read that are begun below which more connections only bring more to push back.
+const STORM: f64 = 0.35;
 /// The shortest time that an idle connection is left: a caller's next RPC may come at once.
 const IDLE_LEAST: Span = Span::ms(100);
 /// RPCs for each core that callers together may have here, where the free value is a credit.
@@ -612,7 +614,7 @@
             self.unread = if stuck { 3.0 / HOLD_SHARE } else { self.unread };
             self.cores.adjust(&self.site, waits, busy, self.unread);
             self.advertise(out);
-            self.make_room(gauges.connections.unwrap_or(0.0), busy, out);
+            self.make_room(gauges.connections.unwrap_or(0.0), out);
         }
         self.pump(out);
     }
@@ -730,14 +732,18 @@
             let Some(id) = self.hold.best(site, may) else { break };
             self.hold.held.retain(|held| *held != id);
             self.site.put(id, Place::Running);
+            self.site.tries.ok += 1.0;
             out.admit(id);
         }
     }
 
     /// Guards against a table full of idle connections: many callers with little traffic each keep one open.
-    /// While the cores are busy the table may fill: what it keeps out costs neither a new connection nor reading.
-    fn make_room(&mut self, open: f64, busy: f64, out: &mut dyn Outlet) {
-        let full = open > self.cores.cores as f64 * CONNECTIONS && busy < 0.9;
+    /// In a storm the table may fill: what it keeps out costs neither a new connection nor reading.
+    fn make_room(&mut self, open: f64, out: &mut dyn Outlet) {
+        let tries = &mut self.site.tries;
+        let storm = tries.ok < tries.asked * STORM;
+        (tries.asked, tries.ok) = (tries.asked * 0.9, tries.ok * 0.9);
+        let full = open > self.cores.cores as f64 * CONNECTIONS && !storm;
         let step = if full { 0.8 } else { 1.05 };
         let idle = self.idle.share(step).max(IDLE_LEAST).min(self.max_idle);
         if idle != self.idle {
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -142,6 +142,8 @@
     pub asked: Vec<Tally>,
     pub tenants: Vec<Tally>,
     pub tenant_rates: Vec<f64>,
+    /// Tries read of late, and begun.
+    pub tries: Tally,
     /// The time that the tallies cover.
     pub tallied: Span,
     pub over_share: f64,
@@ -168,6 +170,7 @@
             calls: Histogram::default(),
             asked: vec![Tally::default(); terms.methods.len()],
             tenants: vec![Tally::default(); terms.tenant_rates.len()],
+            tries: Tally::default(),
             tenant_rates: terms.tenant_rates.clone(),
             tallied: Span::ZERO,
             over_share: terms.over_share,
@@ -251,6 +254,7 @@
             self.asked[rpc.method].asked += 1.0;
             rpc.tenant.inspect(|tenant| self.tenants[*tenant].asked += 1.0);
         }
+        self.tries.asked += 1.0;
         self.read = self.now;
         self.used_kb += rpc.held_kb;
         self.count[Place::Held as usize] += 1;
