--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -72,7 +72,7 @@
 /// the table holds, and a caller that finds it full gets nothing. Several for each RPC a core can have in hand.
 const CONNECTIONS: f64 = 16.0;
 /// Part of the tries read that are begun below which more connections only bring more to push back.
-const STORM: f64 = 0.35;
+const STORM: f64 = 0.2;
 /// The shortest time that an idle connection is left: a caller's next RPC may come at once.
 const IDLE_LEAST: Span = Span::ms(100);
 /// RPCs for each core that callers together may have here, where the free value is a credit.
