--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -232,10 +232,11 @@
 
 impl Hold {
     /// The part of its limit that an RPC has been here; over from 1 on. Guards against pushing back at once what
-    /// took long to read: where reading is slow, waiting unread counts half.
+    /// took as long to read as most: up to half its limit, the usual wait unread does not count.
     fn part(site: &Site, rpc: &Rpc) -> f64 {
-        let unread = (rpc.since - rpc.arrived).0 as f64 / 2.0;
-        Hold::of_limit(site, rpc, Span(unread as u64).max(site.now - rpc.since))
+        let usual = (rpc.since - rpc.arrived).min(site.reads.middle(Span::ZERO));
+        let most = site.method(rpc).target.share(HOLD_SHARE / 2.0);
+        Hold::of_limit(site, rpc, (site.now - rpc.arrived) - usual.min(most))
     }
 
     fn of_limit(site: &Site, rpc: &Rpc, span: Span) -> f64 {
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -139,6 +139,8 @@
     /// Time on the cores of each method's runs.
     pub runs: Vec<Histogram>,
     pub calls: Histogram,
+    /// How long RPCs waited unread.
+    pub reads: Histogram,
     pub asked: Vec<Tally>,
     pub tenants: Vec<Tally>,
     pub tenant_rates: Vec<f64>,
@@ -168,6 +170,7 @@
             methods: terms.methods.clone(),
             runs: vec![Histogram::default(); terms.methods.len()],
             calls: Histogram::default(),
+            reads: Histogram::default(),
             asked: vec![Tally::default(); terms.methods.len()],
             tenants: vec![Tally::default(); terms.tenant_rates.len()],
             tries: Tally::default(),
@@ -255,6 +258,7 @@
             rpc.tenant.inspect(|tenant| self.tenants[*tenant].asked += 1.0);
         }
         self.tries.asked += 1.0;
+        self.reads.add(arrival.age);
         self.read = self.now;
         self.used_kb += rpc.held_kb;
         self.count[Place::Held as usize] += 1;
@@ -314,6 +318,7 @@
 
     pub fn halve(&mut self) {
         self.tallied = self.tallied.share(0.5);
+        self.reads.halve();
         self.runs.iter_mut().for_each(Histogram::halve);
         self.asked.iter_mut().chain(&mut self.tenants).for_each(Tally::halve);
     }
