--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -235,7 +235,7 @@
     /// took as long to read as most: up to half its limit, the usual wait unread does not count.
     fn part(site: &Site, rpc: &Rpc) -> f64 {
         let usual = (rpc.since - rpc.arrived).min(site.reads.middle(Span::ZERO));
-        let most = site.method(rpc).target.share(HOLD_SHARE / 2.0);
+        let most = site.method(rpc).target.share(HOLD_SHARE);
         Hold::of_limit(site, rpc, (site.now - rpc.arrived) - usual.min(most))
     }
 
