--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -28,21 +28,19 @@
 const PATIENCE_LEAST: Span = Span::ms(300);
 /// Taken for the usual time of a call or a run before any was seen.
 const GUESS: Span = Span::ms(250);
-/// The longest wait for a permit, and the advice when it was in vain (the source's 1 s and 5 s).
+/// The longest wait for a permit, and the advice where it was in vain or the server leaves (the source's).
 const PERMIT_WAIT: Span = Span::ms(1_000);
-const PERMIT_ADVICE: Span = Span::ms(5_000);
+const AWAY_ADVICE: Span = Span::ms(5_000);
 /// The line for permits that new work may join: what they serve in a quarter of the wait.
 const PERMIT_LINE: Span = Span::ms(250);
-/// Parts of its share of a shared dependency that a server uses: at first, at the least while calls take
-/// long, at the most. The last leaves room for calls of servers that died.
+/// Parts used of the share of a shared dependency: while calls take long, and at the most (room for the dead).
 const SHARE_FIRST: f64 = 0.5;
 const SHARE_LEAST: f64 = 0.25;
 const SHARE_MOST: f64 = 0.75;
 /// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
 const CALLS_KNOWN: u64 = 40;
-/// And at the least, however few cores: one lost call may not take half of a small server's permits.
+/// Permits toward a tier: at the least, so that one lost call doesn't take half, and at the most times that.
 const TIER_LEAST: f64 = 4.0;
-/// Permits toward a tier for each core, at the most: lost calls hold theirs until a time-out.
 const TIER_MOST: f64 = 3.0;
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
@@ -68,13 +66,10 @@
 const WORST_BAND: f64 = 0.1;
 /// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
 const RETRIED: f64 = 0.25;
-/// Open connections for each core beyond which idle ones close sooner: each takes some of the cores, whatever
-/// the table holds, and a caller that finds it full gets nothing. Several for each RPC a core can have in hand.
+/// Open connections for each core beyond which idle ones close sooner: several for each RPC it can have in hand.
 const CONNECTIONS: f64 = 16.0;
-/// Part of the tries read that are begun below which more connections only bring more to push back.
+/// Part of the tries read that are begun below which more connections only bring more pushbacks.
 const STORM: f64 = 0.2;
-/// The shortest time that an idle connection is left: a caller's next RPC may come at once.
-const IDLE_LEAST: Span = Span::ms(100);
 /// RPCs for each core that callers together may have here, where the free value is a credit.
 const CREDIT: f64 = 4.0;
 
@@ -134,7 +129,7 @@
 
     /// The part of a tenant's present traffic that counts.
     fn within(&self, tenant: usize) -> f64 {
-        let rate = self.tenants[tenant].asked / (self.tallied.0 as f64 / 10_000.0).max(2.0);
+        let rate = self.tenants[tenant].asked / ((self.now - self.tallied).0 as f64 / 10_000.0).max(2.0);
         let share = self.tenant_rates[tenant];
         if rate <= share { 1.0 } else { (share + self.over_share * (rate - share)) / rate }
     }
@@ -175,14 +170,9 @@
             site.used_kb += self.key_kb;
         }
         out.keep_token(id, until - site.now);
-        if let Some(rpc) = site.get_mut(id) {
-            rpc.token_until = Some(until);
-        }
+        site.kept(id, until, never_ran);
         if let Some(old) = never_ran {
             // The newest try is the one whose caller still waits.
-            if let Some(old) = site.get_mut(old) {
-                old.heir = Some(id);
-            }
             site.push_back(old, Span::ZERO, out);
         }
         Step::Pass
@@ -201,22 +191,19 @@
 /// The rules that no other stage keeps: memory, the drain, and a server that stands still.
 struct Guard {
     grace: Span,
-    max_advice: Span,
     noticed: Option<Time>,
     stop: Time,
 }
 
 impl Guard {
-    fn enter(&mut self, site: &mut Site, id: RpcId, stalled: bool, out: &mut dyn Outlet) -> Step {
-        let Some(rpc) = site.get(id) else { return Step::End };
+    fn enter(&mut self, site: &mut Site, id: RpcId, stalled: bool, out: &mut dyn Outlet) {
+        let Some(rpc) = site.get(id) else { return };
         // A beat of margin, for the notice itself was rounded.
         let late = self.noticed.is_some_and(|noticed| rpc.arrived + BEAT > noticed + self.grace);
         let leaving = late || stalled || self.stopping(site.now);
-        if !leaving && site.used_kb <= site.memory_kb * MEMORY_HOLD {
-            return Step::Pass;
+        if leaving || site.used_kb > site.memory_kb * MEMORY_HOLD {
+            site.push_back(id, if leaving { AWAY_ADVICE } else { ADVICE }, out);
         }
-        site.push_back(id, if leaving { self.max_advice } else { ADVICE }, out);
-        Step::End
     }
 
     fn stopping(&self, now: Time) -> bool {
@@ -225,14 +212,11 @@
 }
 
 /// What waits for a core, not longer than its limit.
-#[derive(Default)]
-struct Hold {
-    held: Vec<RpcId>,
-}
+struct Hold;
 
 impl Hold {
     /// The part of its limit that an RPC has been here; over from 1 on. Guards against pushing back at once what
-    /// took as long to read as most: up to half its limit, the usual wait unread does not count.
+    /// took as long to read as most: the usual wait unread does not count, up to its limit.
     fn part(site: &Site, rpc: &Rpc) -> f64 {
         let usual = (rpc.since - rpc.arrived).min(site.reads.middle(Span::ZERO));
         let most = site.method(rpc).target.share(HOLD_SHARE);
@@ -244,16 +228,12 @@
     }
 
     /// The most valuable of those that `may` start.
-    fn best(&self, site: &Site, may: impl Fn(&Rpc) -> bool) -> Option<RpcId> {
-        // Guards against running what a later try has just replaced.
-        let held = |id: &RpcId| site.get(*id).filter(|rpc| rpc.place == Place::Held && may(rpc));
-        greatest(self.held.iter().filter_map(|id| held(id).map(|rpc| (site.value(rpc), *id))))
+    fn best(site: &Site, may: impl Fn(&Rpc) -> bool) -> Option<RpcId> {
+        greatest(site.at(Place::Held).filter(|(_, rpc)| may(rpc)).map(|(id, rpc)| (site.value(rpc), id)))
     }
 
-    /// The longest part of its limit that any of them has waited.
-    fn waited(&self, site: &Site) -> f64 {
-        let held = self.held.iter().filter_map(|id| site.get(*id));
-        held.map(|rpc| Hold::part(site, rpc)).fold(0.0, f64::max)
+    fn waited(site: &Site) -> f64 {
+        site.at(Place::Held).map(|(_, rpc)| Hold::part(site, rpc)).fold(0.0, f64::max)
     }
 }
 
@@ -263,8 +243,8 @@
     limit: usize,
     crowd: f64,
     cold_until: Time,
-    cold_speed: f64,
-    warm_after: Span,
+    /// Part of its speed that it lacks for each tick until then.
+    lack: f64,
     /// When the cores last got something done, or had room.
     moved: Time,
     stalled: bool,
@@ -273,8 +253,7 @@
 impl Cores {
     /// Started RPCs that the cores survive should all of them come back from their calls at once.
     fn ceiling(&self, now: Time) -> usize {
-        let left = (self.cold_until - now).0 as f64 / self.warm_after.0.max(1) as f64;
-        let speed = 1.0 - (1.0 - self.cold_speed) * left.min(1.0);
+        let speed = 1.0 - self.lack * (self.cold_until - now).0 as f64;
         let crowd = self.cores as f64 * (1.0 + (self.crowd - 1.0) * speed) * CROWD_USED;
         (crowd as usize).max(1)
     }
@@ -306,7 +285,6 @@
     range: (f64, f64),
     linger: Span,
     lingering: Vec<Time>,
-    waiting: Vec<RpcId>,
     /// Permit time not used yet, in permits x ticks.
     credit: f64,
     counted: Time,
@@ -331,10 +309,8 @@
         next <= self.permits.floor() || (next <= self.share.unwrap_or(0.0).ceil() && self.credit >= 0.0)
     }
 
-    fn next(&self, site: &Site) -> Option<RpcId> {
-        let waiting =
-            self.waiting.iter().filter_map(|id| Some((site.method(site.get(*id)?).criticality, *id)));
-        greatest(waiting)
+    fn next(site: &Site) -> Option<RpcId> {
+        greatest(site.at(Place::Waiting).map(|(id, rpc)| (site.method(rpc).criticality, id)))
     }
 
     /// Guards against work that would only end in a line for permits; what runs towards a call stands in it.
@@ -389,10 +365,8 @@
 
     /// The cooldown left, while open.
     fn shut(&self, now: Time) -> Option<Span> {
-        match self.state {
-            State::Open { until } if until > now => Some(until - now),
-            _ => None,
-        }
+        let State::Open { until } = self.state else { return None };
+        (until > now).then(|| until - now)
     }
 
     /// One trial at a time after the cooldown; others keep waiting meanwhile.
@@ -437,7 +411,6 @@
     site: Site,
     repeats: Repeats,
     guard: Guard,
-    hold: Hold,
     cores: Cores,
     bulkhead: Bulkhead,
     breaker: Breaker,
@@ -450,38 +423,36 @@
     /// The longest that work has waited unread of late, as a part of its limit.
     unread: f64,
     drowned: bool,
-    beats: u64,
+    /// When all is looked at next, and when the slower things were last.
+    beat: Time,
+    reviewed: Time,
 }
 
 impl Server {
     pub fn start(terms: &Terms, seed: u64, now: Time, out: &mut dyn Outlet) -> Server {
         let cores = terms.cores.max(1) as usize;
-        let all = cores as f64;
+        let least = f64::from(terms.cores).max(TIER_LEAST);
         let share = terms.below.share();
+        let range = share.map_or((least, least * TIER_MOST), |all| (all * SHARE_LEAST, all * SHARE_MOST));
         let warm_after = if terms.cold { terms.warm_after } else { Span::ZERO };
-        let (grace, max_advice) = (terms.drain_grace, terms.max_advice);
         out.timer(BEAT);
         Server {
             site: Site::new(terms, seed, now),
             repeats: Repeats { key_kb: terms.key_kb, kept: 0 },
-            guard: Guard { grace, max_advice, noticed: None, stop: Time(u64::MAX) },
-            hold: Hold::default(),
+            guard: Guard { grace: terms.drain_grace, noticed: None, stop: Time(u64::MAX) },
             cores: Cores {
                 cores,
                 limit: cores,
                 crowd: terms.survivable_crowd.max(1.0),
                 cold_until: now + warm_after,
-                cold_speed: terms.cold_speed,
-                warm_after,
+                lack: (1.0 - terms.cold_speed) / warm_after.0.max(1) as f64,
                 moved: now,
                 stalled: false,
             },
             bulkhead: Bulkhead {
-                permits: share.map_or(all, |share| share * SHARE_FIRST),
+                permits: share.map_or(least, |all| all * SHARE_FIRST),
+                range,
                 share,
-                range: share.map_or((all.max(TIER_LEAST), all.max(TIER_LEAST) * TIER_MOST), |share| {
-                    (share * SHARE_LEAST, share * SHARE_MOST)
-                }),
                 linger: share.map_or(Span::ZERO, |_| terms.linger),
                 counted: now,
                 ..Bulkhead::default()
@@ -494,7 +465,8 @@
             max_idle: terms.caller_idle,
             unread: 0.0,
             drowned: false,
-            beats: 0,
+            beat: now + BEAT,
+            reviewed: now,
         }
     }
 
@@ -502,14 +474,14 @@
     pub fn rpc(&mut self, now: Time, arrival: Arrival, out: &mut dyn Outlet) {
         let (site, id) = (&mut self.site, arrival.id);
         site.now = now;
+        if self.beat > now + BEAT {
+            self.beat = now + BEAT;
+            out.timer(BEAT);
+        }
         site.arrive(&arrival);
         self.unread = site.get(id).map_or(0.0, |rpc| Hold::of_limit(site, rpc, arrival.age)).max(self.unread);
-        let step = match self.repeats.enter(site, id, arrival.prior, out) {
-            Step::Pass => self.guard.enter(site, id, self.cores.stalled, out),
-            step => step,
-        };
-        if matches!(step, Step::Pass) {
-            self.hold.held.push(id);
+        if matches!(self.repeats.enter(site, id, arrival.prior, out), Step::Pass) {
+            self.guard.enter(site, id, self.cores.stalled, out);
         }
         self.close(id, out);
         self.pump(out);
@@ -543,9 +515,6 @@
         self.cores.moved = now;
         let Some(rpc) = self.site.get_mut(id).filter(|rpc| rpc.place == Place::Running) else { return };
         rpc.calls = 0;
-        if !rpc.answered {
-            self.bulkhead.waiting.push(id);
-        }
         self.site.put(id, Place::Waiting);
         self.check(id, out);
         self.pump(out);
@@ -563,12 +532,8 @@
         self.breaker.result(&mut self.site, id, now - took, !ok, out);
         self.bulkhead.left(&self.site, outcome == Outcome::TimedOut);
         self.site.put(id, if ok { Place::Running } else { Place::Waiting });
-        if !ok && !answered {
-            if again && calls < CALLS_EACH {
-                self.bulkhead.waiting.push(id);
-            } else {
-                self.without_call(id, self.breaker.shut(now).unwrap_or(ADVICE), out);
-            }
+        if !(ok || answered || again && calls < CALLS_EACH) {
+            self.without_call(id, self.breaker.shut(now).unwrap_or(ADVICE), out);
         }
         self.check(id, out);
         self.pump(out);
@@ -596,20 +561,21 @@
 
     /// The timer asked for last has run out.
     pub fn timer(&mut self, now: Time, gauges: Gauges, out: &mut dyn Outlet) {
+        if now < self.beat {
+            return;
+        }
         self.site.now = now;
-        self.site.tallied = self.site.tallied + BEAT;
-        out.timer(BEAT);
         self.watch(out);
-        for id in self.site.ids() {
+        for id in self.site.live.clone() {
             self.check(id, out);
         }
-        self.beats += 1;
-        if self.beats.is_multiple_of(HALVE.0 / BEAT.0) {
+        if now - self.site.tallied >= HALVE * 2 {
             self.site.halve();
         }
-        if self.beats.is_multiple_of(REVIEW.0 / BEAT.0) {
+        if now - self.reviewed >= REVIEW {
+            self.reviewed = now;
             self.bulkhead.review(&mut self.site);
-            let (waits, busy) = (!self.hold.held.is_empty(), gauges.busy.unwrap_or(1.0));
+            let (waits, busy) = (self.site.count(Place::Held) > 0, gauges.busy.unwrap_or(1.0));
             // Guards against reading only what its callers have given up: busy for nothing.
             let stuck = gauges.busy > Some(0.9) && self.site.started() == 0 && now - self.site.read > STALL;
             self.unread = if stuck { 3.0 / HOLD_SHARE } else { self.unread };
@@ -617,6 +583,10 @@
             self.advertise(out);
             self.make_room(gauges.connections.unwrap_or(0.0), out);
         }
+        // Nothing is swept while nothing is due.
+        let next = if self.site.live.is_empty() { REVIEW } else { BEAT };
+        self.beat = now + next;
+        out.timer(next);
         self.pump(out);
     }
 
@@ -655,11 +625,11 @@
         let shut =
             self.breaker.shut(now).filter(|left| idempotent || now + *left >= rpc.arrived + method.target);
         match rpc.place {
-            Place::Held if leaving => self.site.push_back(id, self.guard.max_advice, out),
+            Place::Held if leaving => self.site.push_back(id, AWAY_ADVICE, out),
             Place::Held if due || Hold::part(&self.site, rpc) >= 1.0 => self.site.push_back(id, ADVICE, out),
             _ if due => self.site.abort(id, out),
             Place::Waiting if shut.is_some() => self.without_call(id, shut.unwrap_or(ADVICE), out),
-            Place::Waiting if idempotent && waited => self.without_call(id, PERMIT_ADVICE, out),
+            Place::Waiting if idempotent && waited => self.without_call(id, AWAY_ADVICE, out),
             Place::Running if worthless && self.site.may_stop => {
                 self.site.push_back(id, ADVICE, out);
                 out.preempt(id);
@@ -675,11 +645,7 @@
         let Some(rpc) = self.site.get(id) else { return };
         let token = rpc.ran && rpc.token_until.is_some_and(|until| until > self.site.now);
         let over = rpc.place == Place::Over && !token;
-        if rpc.answered {
-            self.bulkhead.waiting.retain(|waiting| *waiting != id);
-        }
         if over {
-            self.hold.held.retain(|held| *held != id);
             self.repeats.leave(&mut self.site, id, out);
             self.site.remove(id);
             out.release(id);
@@ -688,7 +654,6 @@
 
     /// The answer instead of a call: fallback, quick pushback, or an error for what may have had effect.
     fn without_call(&mut self, id: RpcId, after: Span, out: &mut dyn Outlet) {
-        self.bulkhead.waiting.retain(|waiting| *waiting != id);
         let Some(rpc) = self.site.get(id) else { return };
         if self.site.method(rpc).skip > 0.0 {
             out.skip(id);
@@ -710,13 +675,12 @@
 
     /// Moves on whatever can move: calls first, for they hold memory, then new runs.
     fn pump(&mut self, out: &mut dyn Outlet) {
-        while let Some(id) = self.bulkhead.next(&self.site) {
+        while let Some(id) = Bulkhead::next(&self.site) {
             if !self.bulkhead.room(&self.site)
                 || !matches!(self.breaker.enter(&self.site, id, out), Step::Pass)
             {
                 break;
             }
-            self.bulkhead.waiting.retain(|waiting| *waiting != id);
             self.site.put(id, Place::Calling);
             let patience = self.site.get(id).map_or(Span::ZERO, |rpc| self.patience(rpc));
             out.call(id, patience);
@@ -730,8 +694,7 @@
                 let method = site.method(rpc);
                 rpc.held_kb * factor <= room_kb && !(shut && method.calls && method.skip == 0.0)
             };
-            let Some(id) = self.hold.best(site, may) else { break };
-            self.hold.held.retain(|held| *held != id);
+            let Some(id) = Hold::best(site, may) else { break };
             self.site.put(id, Place::Running);
             self.site.tries.ok += 1.0;
             out.admit(id);
@@ -746,7 +709,7 @@
         (tries.asked, tries.ok) = (tries.asked * 0.9, tries.ok * 0.9);
         let full = open > self.cores.cores as f64 * CONNECTIONS && !storm;
         let step = if full { 0.8 } else { 1.05 };
-        let idle = self.idle.share(step).max(IDLE_LEAST).min(self.max_idle);
+        let idle = self.idle.share(step).max(REVIEW).min(self.max_idle);
         if idle != self.idle {
             self.idle = idle;
             out.idle_limit(idle);
@@ -756,7 +719,7 @@
     /// The free value: less is asked for while work waits long, nothing while leaving or standing still.
     fn advertise(&mut self, out: &mut dyn Outlet) {
         // Guards against a line nobody has read yet; a slow server sees it only by the age of what it reads.
-        let waited = self.hold.waited(&self.site).max(self.unread);
+        let waited = Hold::waited(&self.site).max(self.unread);
         self.unread *= 0.8;
         let step = if waited > 0.5 { 0.1 } else { -0.03 };
         self.shed = (self.shed + step).clamp(0.0, 0.95);
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -146,8 +146,8 @@
     pub tenant_rates: Vec<f64>,
     /// Tries read of late, and begun.
     pub tries: Tally,
-    /// The time that the tallies cover.
-    pub tallied: Span,
+    /// Since when the tallies count.
+    pub tallied: Time,
     pub over_share: f64,
     pub goal: [f64; 3],
     pub by_work: bool,
@@ -156,6 +156,8 @@
     /// Only this server is in trouble, as far as it can tell.
     pub alone: bool,
     rpcs: Vec<Option<Rpc>>,
+    /// All that are not removed.
+    pub live: Vec<RpcId>,
     count: [usize; 6],
     pub used_kb: f64,
     pub memory_kb: f64,
@@ -175,7 +177,7 @@
             tenants: vec![Tally::default(); terms.tenant_rates.len()],
             tries: Tally::default(),
             tenant_rates: terms.tenant_rates.clone(),
-            tallied: Span::ZERO,
+            tallied: now,
             over_share: terms.over_share,
             goal: if terms.goal.iter().sum::<f64>() > 0.0 { terms.goal } else { [1.0, 0.0, 0.0] },
             by_work: terms.worth_by_work,
@@ -183,6 +185,7 @@
             alone: terms.cold,
             may_stop: terms.preemption != Preemption::Off,
             rpcs: Vec::new(),
+            live: Vec::new(),
             count: [0; 6],
             used_kb: 0.0,
             memory_kb: if terms.memory_kb > 0.0 { terms.memory_kb } else { f64::MAX },
@@ -198,10 +201,6 @@
         self.rpcs.get_mut(id.0 as usize)?.as_mut()
     }
 
-    pub fn ids(&self) -> impl Iterator<Item = RpcId> + use<> {
-        (0..self.rpcs.len() as u32).map(RpcId)
-    }
-
     pub fn count(&self, place: Place) -> usize {
         self.count[place as usize]
     }
@@ -222,11 +221,17 @@
         prior
     }
 
+    /// All at `place` that nobody has answered, as they came.
+    pub fn at(&self, place: Place) -> impl Iterator<Item = (RpcId, &Rpc)> {
+        let all = self.live.iter().filter_map(|id| Some((*id, self.get(*id)?)));
+        all.filter(move |(_, rpc)| rpc.place == place && !rpc.answered)
+    }
+
     /// Begun RPCs that may have to call and have not done so.
     pub fn before_calls(&self) -> usize {
         let before = |rpc: &Rpc| rpc.calls == 0 && matches!(rpc.place, Place::Running | Place::Waiting);
         let must = |rpc: &Rpc| self.method(rpc).calls && self.method(rpc).skip == 0.0;
-        self.rpcs.iter().flatten().filter(|rpc| before(rpc) && must(rpc)).count()
+        self.live.iter().filter_map(|id| self.get(*id)).filter(|rpc| before(rpc) && must(rpc)).count()
     }
 
     /// Begun and not over, on the cores or at a call.
@@ -267,6 +272,17 @@
             self.rpcs.resize_with(index + 1, || None);
         }
         self.rpcs[index] = Some(rpc);
+        self.live.push(arrival.id);
+    }
+
+    /// Notes its token, and that it stands for an earlier try.
+    pub fn kept(&mut self, id: RpcId, until: Time, earlier: Option<RpcId>) {
+        if let Some(rpc) = self.get_mut(id) {
+            rpc.token_until = Some(until);
+        }
+        if let Some(earlier) = earlier.and_then(|earlier| self.get_mut(earlier)) {
+            earlier.heir = Some(id);
+        }
     }
 
     /// Moves an RPC; all counts follow.
@@ -297,6 +313,7 @@
 
     pub fn remove(&mut self, id: RpcId) -> Option<Rpc> {
         let rpc = self.rpcs.get_mut(id.0 as usize)?.take()?;
+        self.live.retain(|live| *live != id);
         self.used_kb -= rpc.kb(rpc.place, self.run_factor);
         self.count[rpc.place as usize] -= 1;
         Some(rpc)
@@ -317,7 +334,7 @@
     }
 
     pub fn halve(&mut self) {
-        self.tallied = self.tallied.share(0.5);
+        self.tallied = self.now - (self.now - self.tallied).share(0.5);
         self.reads.halve();
         self.runs.iter_mut().for_each(Histogram::halve);
         self.asked.iter_mut().chain(&mut self.tenants).for_each(Tally::halve);
--- a/crates/coralstep/tests/scenarios.rs
+++ b/crates/coralstep/tests/scenarios.rs
@@ -46,6 +46,9 @@
     fn health(&mut self, good: bool) {
         self.0.push(format!("health {}", if good { "good" } else { "bad" }));
     }
+    fn idle_limit(&mut self, span: Span) {
+        self.0.push(format!("idle {}", span.0 / 10));
+    }
     fn log(&mut self, text: Arguments<'_>) {
         self.0.push(format!("log {text}"));
     }
@@ -94,6 +97,7 @@
             "key" => terms.key_kb = number(value),
             "crowd" => terms.survivable_crowd = number(value),
             "grace" => terms.drain_grace = ms(value),
+            "idle" => terms.caller_idle = ms(value),
             "linger" => terms.linger = ms(value),
             "cold" => {
                 (terms.cold, terms.cold_speed, terms.warm_after) = (true, number(value), Span::ms(10_000))
@@ -122,7 +126,7 @@
     terms: Terms,
     server: Option<Server>,
     now: Time,
-    busy: Option<f64>,
+    gauges: Gauges,
     answers: Answers,
     expected: usize,
 }
@@ -131,7 +135,8 @@
     fn line(&mut self, words: &[&str]) {
         match words[0] {
             "terms" => return set(&mut self.terms, &words[1..]),
-            "busy" => return self.busy = Some(number(words[1])),
+            "busy" => return self.gauges.busy = Some(number(words[1])),
+            "open" => return self.gauges.connections = Some(number(words[1])),
             "method" => return self.terms.methods.push(method(&words[1..])),
             "=>" => {
                 let wanted = words[1..].join(" ");
@@ -181,7 +186,7 @@
                 let until = now + ms(words[1]);
                 while self.now < until {
                     self.now = (self.now + Span::ms(20)).min(until);
-                    server.timer(self.now, Gauges { busy: self.busy, ..Gauges::default() }, out);
+                    server.timer(self.now, self.gauges, out);
                 }
             }
             other => panic!("no step {other}"),
@@ -195,7 +200,7 @@
         terms: Terms::default(),
         server: None,
         now: Time(1_000_000),
-        busy: None,
+        gauges: Gauges::default(),
         answers: Answers::default(),
         expected: 0,
     };
