--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -155,6 +155,8 @@
     pub may_stop: bool,
     /// Only this server is in trouble, as far as it can tell.
     pub alone: bool,
+    /// Most of what is read is pushed back.
+    pub storm: bool,
     rpcs: Vec<Option<Rpc>>,
     /// All that are not removed.
     pub live: Vec<RpcId>,
@@ -184,6 +186,7 @@
             run_factor: terms.run_factor.max(1.0),
             alone: terms.cold,
             may_stop: terms.preemption != Preemption::Off,
+            storm: false,
             rpcs: Vec::new(),
             live: Vec::new(),
             count: [0; 6],
