--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -94,8 +94,6 @@
         if rpc.ran && self.method(rpc).effect != Effect::Idempotent {
             self.abort(id, out);
         } else if !rpc.answered {
-            // Guards against callers that come again while most is pushed back: each try costs its reading.
-            let after = if self.storm { AWAY_ADVICE } else { after };
             out.push_back(id, after, rpc.retry || !self.alone);
             self.answered(id);
         }
@@ -707,10 +705,16 @@
     /// In a storm the table may fill: what it keeps out costs neither a new connection nor reading.
     fn make_room(&mut self, open: f64, out: &mut dyn Outlet) {
         let tries = &mut self.site.tries;
-        self.site.storm = tries.ok < tries.asked * STORM;
+        let storm = tries.ok < tries.asked * STORM;
         (tries.asked, tries.ok) = (tries.asked * 0.9, tries.ok * 0.9);
-        let full = open > self.cores.cores as f64 * CONNECTIONS && !self.site.storm;
-        let step = if full { 0.8 } else { 1.05 };
+        let full = open > self.cores.cores as f64 * CONNECTIONS && !storm;
+        let step = if full {
+            0.8
+        } else if storm {
+            1.5
+        } else {
+            1.05
+        };
         let idle = self.idle.share(step).max(REVIEW).min(self.max_idle);
         if idle != self.idle {
             self.idle = idle;
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -155,8 +155,6 @@
     pub may_stop: bool,
     /// Only this server is in trouble, as far as it can tell.
     pub alone: bool,
-    /// Most of what is read is pushed back.
-    pub storm: bool,
     rpcs: Vec<Option<Rpc>>,
     /// All that are not removed.
     pub live: Vec<RpcId>,
@@ -186,7 +184,6 @@
             run_factor: terms.run_factor.max(1.0),
             alone: terms.cold,
             may_stop: terms.preemption != Preemption::Off,
-            storm: false,
             rpcs: Vec::new(),
             live: Vec::new(),
             count: [0; 6],
