--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -46,7 +46,6 @@
 const CROWDED: f64 = 2.5;
 /// Part of the target that an RPC may be held; half, the design's start, left no time for another server.
 const HOLD_SHARE: f64 = 0.25;
-const PROMPT: f64 = 0.0625;
 /// Part of the survivable crowd that is ever used: calls that come back and reading need the rest.
 const CROWD_USED: f64 = 0.6;
 /// Parts of the memory up to which work is held, work is begun and tokens are kept; reading needs the rest.
@@ -95,9 +94,7 @@
         if rpc.ran && self.method(rpc).effect != Effect::Idempotent {
             self.abort(id, out);
         } else if !rpc.answered {
-            // Where all is read at once a try costs little, and one server in a crowd may be the only full one.
-            let cheap = self.reads.middle(Span::ZERO) < self.method(rpc).target.share(HOLD_SHARE * PROMPT);
-            out.push_back(id, after, rpc.retry || !(self.alone || cheap));
+            out.push_back(id, after, rpc.retry || !self.alone);
             self.answered(id);
         }
     }
