--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -596,7 +596,7 @@
         self.cores.moved = if idle { self.site.now } else { self.cores.moved };
         let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
-        let drowned = self.unread > if self.drowned { 1.0 } else { 2.0 / HOLD_SHARE };
+        let drowned = self.unread > if self.drowned { 1.0 } else { 1.0 / HOLD_SHARE };
         // Guards against storms of further tries: elsewhere is better only if the trouble is its own.
         let cold = self.site.now < self.cores.cold_until;
         self.site.alone = stalled || drowned || cold || self.guard.noticed.is_some();
