--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -45,7 +45,7 @@
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
 /// Part of the target that an RPC may be held; half, the design's start, left no time for another server.
-const HOLD_SHARE: f64 = 0.33;
+const HOLD_SHARE: f64 = 0.25;
 /// Part of the survivable crowd that is ever used: calls that come back and reading need the rest.
 const CROWD_USED: f64 = 0.6;
 /// Parts of the memory up to which work is held, work is begun and tokens are kept; reading needs the rest.
@@ -71,7 +71,7 @@
 /// Part of the tries read that are begun below which more connections only bring more pushbacks.
 const STORM: f64 = 0.2;
 /// RPCs for each core that callers together may have here, where the free value is a credit.
-const CREDIT: f64 = 4.0;
+const CREDIT: f64 = 2.5;
 
 enum Step {
     Pass,
@@ -596,7 +596,7 @@
         self.cores.moved = if idle { self.site.now } else { self.cores.moved };
         let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
-        let drowned = self.unread > if self.drowned { 1.0 } else { 1.0 / HOLD_SHARE };
+        let drowned = self.unread > if self.drowned { 1.0 } else { 2.0 / HOLD_SHARE };
         // Guards against storms of further tries: elsewhere is better only if the trouble is its own.
         let cold = self.site.now < self.cores.cold_until;
         self.site.alone = stalled || drowned || cold || self.guard.noticed.is_some();
@@ -726,7 +726,7 @@
     fn advertise(&mut self, out: &mut dyn Outlet) {
         // Guards against a line nobody has read yet; a slow server sees it only by the age of what it reads.
         let waited = Hold::waited(&self.site).max(self.unread);
-        self.unread *= 0.8;
+        self.unread *= if self.drowned { 0.97 } else { 0.8 };
         let step = if waited > 0.5 { 0.1 } else { -0.03 };
         self.shed = (self.shed + step).clamp(0.0, 0.95);
         let open = if self.guard.noticed.is_some() || self.cores.stalled { 0.0 } else { 1.0 - self.shed };
