--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -45,7 +45,7 @@
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
 /// Part of the target that an RPC may be held; half, the design's start, left no time for another server.
-const HOLD_SHARE: f64 = 0.25;
+const HOLD_SHARE: f64 = 0.33;
 /// Part of the survivable crowd that is ever used: calls that come back and reading need the rest.
 const CROWD_USED: f64 = 0.6;
 /// Parts of the memory up to which work is held, work is begun and tokens are kept; reading needs the rest.
@@ -71,7 +71,7 @@
 /// Part of the tries read that are begun below which more connections only bring more pushbacks.
 const STORM: f64 = 0.2;
 /// RPCs for each core that callers together may have here, where the free value is a credit.
-const CREDIT: f64 = 2.5;
+const CREDIT: f64 = 4.0;
 
 enum Step {
     Pass,
@@ -219,12 +219,16 @@
     /// took as long to read as most: the usual wait unread does not count, up to its limit.
     fn part(site: &Site, rpc: &Rpc) -> f64 {
         let usual = (rpc.since - rpc.arrived).min(site.reads.middle(Span::ZERO));
-        let most = site.method(rpc).target.share(HOLD_SHARE);
-        Hold::of_limit(site, rpc, (site.now - rpc.arrived) - usual.min(most))
+        Hold::of_limit(site, rpc, (site.now - rpc.arrived) - usual.min(Hold::limit(site, rpc)))
+    }
+
+    /// Guards against pushing back by chance on few cores: there it takes longer until one is free.
+    fn limit(site: &Site, rpc: &Rpc) -> Span {
+        site.method(rpc).target.share(HOLD_SHARE) + site.run_time(rpc).share(1.0 / site.cores as f64)
     }
 
     fn of_limit(site: &Site, rpc: &Rpc, span: Span) -> f64 {
-        span.0 as f64 / (site.method(rpc).target.0.max(1) as f64 * HOLD_SHARE)
+        span.0 as f64 / Hold::limit(site, rpc).0.max(1) as f64
     }
 
     /// The most valuable of those that `may` start.
@@ -592,11 +596,11 @@
 
     /// Guards against a server that reads and holds but gets nothing done, whatever stopped its cores.
     fn watch(&mut self, out: &mut dyn Outlet) {
-        let idle = self.site.count(Place::Running) < self.cores.cores;
+        let idle = self.site.count(Place::Running) < self.site.cores;
         self.cores.moved = if idle { self.site.now } else { self.cores.moved };
         let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
-        let drowned = self.unread > if self.drowned { 1.0 } else { 2.0 / HOLD_SHARE };
+        let drowned = self.unread > if self.drowned { 1.0 } else { 1.0 / HOLD_SHARE };
         // Guards against storms of further tries: elsewhere is better only if the trouble is its own.
         let cold = self.site.now < self.cores.cold_until;
         self.site.alone = stalled || drowned || cold || self.guard.noticed.is_some();
@@ -707,7 +711,7 @@
         let tries = &mut self.site.tries;
         let storm = tries.ok < tries.asked * STORM;
         (tries.asked, tries.ok) = (tries.asked * 0.9, tries.ok * 0.9);
-        let full = open > self.cores.cores as f64 * CONNECTIONS && !storm;
+        let full = open > self.site.cores as f64 * CONNECTIONS && !storm;
         let step = if full {
             0.8
         } else if storm {
@@ -726,7 +730,7 @@
     fn advertise(&mut self, out: &mut dyn Outlet) {
         // Guards against a line nobody has read yet; a slow server sees it only by the age of what it reads.
         let waited = Hold::waited(&self.site).max(self.unread);
-        self.unread *= if self.drowned { 0.97 } else { 0.8 };
+        self.unread *= 0.8;
         let step = if waited > 0.5 { 0.1 } else { -0.03 };
         self.shed = (self.shed + step).clamp(0.0, 0.95);
         let open = if self.guard.noticed.is_some() || self.cores.stalled { 0.0 } else { 1.0 - self.shed };
@@ -734,7 +738,7 @@
             Advert::Off => return,
             Advert::Level => 1.0 - open,
             Advert::Weight => open,
-            Advert::Credit => open * self.cores.cores as f64 * CREDIT / self.callers,
+            Advert::Credit => open * self.site.cores as f64 * CREDIT / self.callers,
         };
         out.advertise(value);
     }
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -153,6 +153,7 @@
     pub by_work: bool,
     pub run_factor: f64,
     pub may_stop: bool,
+    pub cores: usize,
     /// Only this server is in trouble, as far as it can tell.
     pub alone: bool,
     rpcs: Vec<Option<Rpc>>,
@@ -183,6 +184,7 @@
             by_work: terms.worth_by_work,
             run_factor: terms.run_factor.max(1.0),
             alone: terms.cold,
+            cores: terms.cores.max(1) as usize,
             may_stop: terms.preemption != Preemption::Off,
             rpcs: Vec::new(),
             live: Vec::new(),
