--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -222,9 +222,13 @@
         Hold::of_limit(site, rpc, (site.now - rpc.arrived) - usual.min(Hold::limit(site, rpc)))
     }
 
-    /// Guards against pushing back by chance on few cores: there it takes longer until one is free.
+    /// Guards against pushing back by chance on few cores: there it takes longer until one is free. What must call
+    /// needs that time for its permit.
     fn limit(site: &Site, rpc: &Rpc) -> Span {
-        site.method(rpc).target.share(HOLD_SHARE) + site.run_time(rpc).share(1.0 / site.cores as f64)
+        let method = site.method(rpc);
+        let free =
+            if method.must_call() { Span::ZERO } else { site.run_time(rpc).share(1.0 / site.cores as f64) };
+        method.target.share(HOLD_SHARE) + free
     }
 
     fn of_limit(site: &Site, rpc: &Rpc, span: Span) -> f64 {
@@ -696,7 +700,7 @@
             let (site, factor) = (&self.site, self.site.run_factor - 1.0);
             let may = |rpc: &Rpc| {
                 let method = site.method(rpc);
-                rpc.held_kb * factor <= room_kb && !(shut && method.calls && method.skip == 0.0)
+                rpc.held_kb * factor <= room_kb && !(shut && method.must_call())
             };
             let Some(id) = Hold::best(site, may) else { break };
             self.site.put(id, Place::Running);
