--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -45,7 +45,7 @@
 /// Calls this many times as slow as the best seen mean that the dependency is crowded.
 const CROWDED: f64 = 2.5;
 /// Part of the target that an RPC may be held; half, the design's start, left no time for another server.
-const HOLD_SHARE: f64 = 0.33;
+const HOLD_SHARE: f64 = 0.25;
 /// Part of the survivable crowd that is ever used: calls that come back and reading need the rest.
 const CROWD_USED: f64 = 0.6;
 /// Parts of the memory up to which work is held, work is begun and tokens are kept; reading needs the rest.
@@ -219,20 +219,12 @@
     /// took as long to read as most: the usual wait unread does not count, up to its limit.
     fn part(site: &Site, rpc: &Rpc) -> f64 {
         let usual = (rpc.since - rpc.arrived).min(site.reads.middle(Span::ZERO));
-        Hold::of_limit(site, rpc, (site.now - rpc.arrived) - usual.min(Hold::limit(site, rpc)))
-    }
-
-    /// Guards against pushing back by chance on few cores: there it takes longer until one is free. What must call
-    /// needs that time for its permit.
-    fn limit(site: &Site, rpc: &Rpc) -> Span {
-        let method = site.method(rpc);
-        let free =
-            if method.must_call() { Span::ZERO } else { site.run_time(rpc).share(1.0 / site.cores as f64) };
-        method.target.share(HOLD_SHARE) + free
+        let most = site.method(rpc).target.share(HOLD_SHARE);
+        Hold::of_limit(site, rpc, (site.now - rpc.arrived) - usual.min(most))
     }
 
     fn of_limit(site: &Site, rpc: &Rpc, span: Span) -> f64 {
-        span.0 as f64 / Hold::limit(site, rpc).0.max(1) as f64
+        span.0 as f64 / (site.method(rpc).target.0.max(1) as f64 * HOLD_SHARE)
     }
 
     /// The most valuable of those that `may` start.
@@ -247,7 +239,6 @@
 
 /// How much runs at once.
 struct Cores {
-    cores: usize,
     limit: usize,
     crowd: f64,
     cold_until: Time,
@@ -260,14 +251,14 @@
 
 impl Cores {
     /// Started RPCs that the cores survive should all of them come back from their calls at once.
-    fn ceiling(&self, now: Time) -> usize {
-        let speed = 1.0 - self.lack * (self.cold_until - now).0 as f64;
-        let crowd = self.cores as f64 * (1.0 + (self.crowd - 1.0) * speed) * CROWD_USED;
+    fn ceiling(&self, site: &Site) -> usize {
+        let speed = 1.0 - self.lack * (self.cold_until - site.now).0 as f64;
+        let crowd = site.cores as f64 * (1.0 + (self.crowd - 1.0) * speed) * CROWD_USED;
         (crowd as usize).max(1)
     }
 
     fn room(&self, site: &Site) -> bool {
-        !self.stalled && site.count(Place::Running) < self.limit && site.started() < self.ceiling(site.now)
+        !self.stalled && site.count(Place::Running) < self.limit && site.started() < self.ceiling(site)
     }
 
     /// Grows while cores idle and work waits, shrinks back when they don't.
@@ -275,10 +266,10 @@
         if unread > 1.0 {
             // Guards against runs that leave reading too little of the cores: all would be read too late.
             self.limit = (self.limit - 1).max(1);
-        } else if self.limit < self.cores || (waits && busy < 0.9 && site.count(Place::Running) >= self.limit)
+        } else if self.limit < site.cores || (waits && busy < 0.9 && site.count(Place::Running) >= self.limit)
         {
-            self.limit = (self.limit + 1).min(self.cores * 2);
-        } else if busy > 0.97 && self.limit > self.cores {
+            self.limit = (self.limit + 1).min(site.cores * 2);
+        } else if busy > 0.97 && self.limit > site.cores {
             self.limit -= 1;
         }
     }
@@ -438,7 +429,6 @@
 
 impl Server {
     pub fn start(terms: &Terms, seed: u64, now: Time, out: &mut dyn Outlet) -> Server {
-        let cores = terms.cores.max(1) as usize;
         let least = f64::from(terms.cores).max(TIER_LEAST);
         let share = terms.below.share();
         let range = share.map_or((least, least * TIER_MOST), |all| (all * SHARE_LEAST, all * SHARE_MOST));
@@ -449,8 +439,7 @@
             repeats: Repeats { key_kb: terms.key_kb, kept: 0 },
             guard: Guard { grace: terms.drain_grace, noticed: None, stop: Time(u64::MAX) },
             cores: Cores {
-                cores,
-                limit: cores,
+                limit: terms.cores.max(1) as usize,
                 crowd: terms.survivable_crowd.max(1.0),
                 cold_until: now + warm_after,
                 lack: (1.0 - terms.cold_speed) / warm_after.0.max(1) as f64,
@@ -604,7 +593,7 @@
         self.cores.moved = if idle { self.site.now } else { self.cores.moved };
         let stalled = self.site.now - self.cores.moved > STALL;
         // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
-        let drowned = self.unread > if self.drowned { 1.0 } else { 1.0 / HOLD_SHARE };
+        let drowned = self.unread > if self.drowned { 1.0 } else { 2.0 / HOLD_SHARE };
         // Guards against storms of further tries: elsewhere is better only if the trouble is its own.
         let cold = self.site.now < self.cores.cold_until;
         self.site.alone = stalled || drowned || cold || self.guard.noticed.is_some();
@@ -700,7 +689,7 @@
             let (site, factor) = (&self.site, self.site.run_factor - 1.0);
             let may = |rpc: &Rpc| {
                 let method = site.method(rpc);
-                rpc.held_kb * factor <= room_kb && !(shut && method.must_call())
+                rpc.held_kb * factor <= room_kb && !(shut && method.calls && method.skip == 0.0)
             };
             let Some(id) = Hold::best(site, may) else { break };
             self.site.put(id, Place::Running);
@@ -716,13 +705,8 @@
         let storm = tries.ok < tries.asked * STORM;
         (tries.asked, tries.ok) = (tries.asked * 0.9, tries.ok * 0.9);
         let full = open > self.site.cores as f64 * CONNECTIONS && !storm;
-        let step = if full {
-            0.8
-        } else if storm {
-            1.5
-        } else {
-            1.05
-        };
+        let more = if storm { 1.5 } else { 1.05 };
+        let step = if full { 0.8 } else { more };
         let idle = self.idle.share(step).max(REVIEW).min(self.max_idle);
         if idle != self.idle {
             self.idle = idle;
@@ -735,7 +719,7 @@
         // Guards against a line nobody has read yet; a slow server sees it only by the age of what it reads.
         let waited = Hold::waited(&self.site).max(self.unread);
         self.unread *= 0.8;
-        let step = if waited > 0.35 { 0.1 } else { -0.03 };
+        let step = if waited > 0.5 { 0.1 } else { -0.03 };
         self.shed = (self.shed + step).clamp(0.0, 0.95);
         let open = if self.guard.noticed.is_some() || self.cores.stalled { 0.0 } else { 1.0 - self.shed };
         let value = match self.advert {
--- a/crates/coralstep/src/door.rs
+++ b/crates/coralstep/src/door.rs
@@ -94,13 +94,6 @@
     pub calls: bool,
 }
 
-impl Method {
-    /// It calls, and no answer without the call earns anything.
-    pub fn must_call(&self) -> bool {
-        self.calls && self.skip == 0.0
-    }
-}
-
 /// Where calls go.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Below {
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -232,7 +232,7 @@
     /// Begun RPCs that may have to call and have not done so.
     pub fn before_calls(&self) -> usize {
         let before = |rpc: &Rpc| rpc.calls == 0 && matches!(rpc.place, Place::Running | Place::Waiting);
-        let must = |rpc: &Rpc| self.method(rpc).must_call();
+        let must = |rpc: &Rpc| self.method(rpc).calls && self.method(rpc).skip == 0.0;
         self.live.iter().filter_map(|id| self.get(*id)).filter(|rpc| before(rpc) && must(rpc)).count()
     }
 
