--- a/crates/coralstep-adapter/src/terms.rs
+++ b/crates/coralstep-adapter/src/terms.rs
@@ -101,6 +101,7 @@
         ..Names::default()
     };
     let mut terms = Terms {
+        fleet: conf.amount("group_size")? as u32,
         over_share: conf.amount("over_share_worth")?,
         cores: conf.amount("domain.cores")? as u32,
         memory_kb: conf.amount("domain.memory_kb")?,
@@ -110,17 +111,13 @@
         cold_speed: conf.amount("safety.cold_from")?,
         warm_after: conf.up("safety.warm_after")?,
         survivable_crowd: conf.amount("safety.fall_multiple")?,
-        answer_slack: conf.down("safety.answer_slack")?,
         drain_grace: conf.down("safety.drain_grace")?,
         below,
         linger: conf.up("domain.linger")?,
-        calls_over: conf.down("domain.calls_over")?,
         callers: conf.amount("domain.callers")? as u32,
         advert,
         preemption,
         caller_idle: conf.down("domain.caller_idle")?,
-        max_advice: conf.down("limits.max_retry_after")?,
-        marks_retries: conf.flag("clients.marks_retry")?,
         worth_by_work: conf.text("worth_by") == "work",
         goal: [
             conf.amount("goal.whole")?,
@@ -133,10 +130,9 @@
         names.methods.push(conf.text(&format!("classes.{index}.name")).to_owned());
         terms.methods.push(conf.method(index, below != Below::Nothing)?);
     }
-    let fleet = conf.amount("group_size")?.max(1.0);
     for index in 0..conf.ns("realms.count")? as usize {
         names.tenants.push(conf.text(&format!("realms.{index}.name")).to_owned());
-        terms.tenant_rates.push(conf.amount(&format!("realms.{index}.quota_rps"))? / fleet);
+        terms.tenant_rates.push(conf.amount(&format!("realms.{index}.quota_rps"))?);
     }
     Ok((terms, names))
 }
--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -127,10 +127,10 @@
         if self.by_work { worth } else { worth / self.run_time(rpc).0.max(1) as f64 }
     }
 
-    /// The part of a tenant's present traffic that counts.
+    /// The part of a tenant's present traffic that counts; its share is taken to be spread evenly.
     fn within(&self, tenant: usize) -> f64 {
         let rate = self.tenants[tenant].asked / ((self.now - self.tallied).0 as f64 / 10_000.0).max(2.0);
-        let share = self.tenant_rates[tenant];
+        let share = self.tenant_rates[tenant] / self.fleet;
         if rate <= share { 1.0 } else { (share + self.over_share * (rate - share)) / rate }
     }
 }
--- a/crates/coralstep/src/door.rs
+++ b/crates/coralstep/src/door.rs
@@ -141,8 +141,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Terms {
     pub methods: Vec<Method>,
-    /// RPCs a second within each tenant's share, for this server's part of the fleet.
+    /// RPCs a second within each tenant's share, over all servers.
     pub tenant_rates: Vec<f64>,
+    /// Servers that share the traffic.
+    pub fleet: u32,
     /// What an RPC beyond its tenant's share is worth, as a part of its criticality.
     pub over_share: f64,
     pub cores: u32,
@@ -155,18 +157,14 @@
     pub warm_after: Span,
     /// RPCs on the cores, for each core, that a warm server survives.
     pub survivable_crowd: f64,
-    pub answer_slack: Span,
     pub drain_grace: Span,
     pub below: Below,
     pub linger: Span,
-    pub calls_over: Span,
     pub callers: u32,
     pub advert: Advert,
     pub preemption: Preemption,
-    pub max_advice: Span,
     /// How long callers keep an idle connection at the most.
     pub caller_idle: Span,
-    pub marks_retries: bool,
     pub worth_by_work: bool,
     /// Weights of the whole, the worst-served method and the worst-served tenant.
     pub goal: [f64; 3],
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -144,6 +144,7 @@
     pub asked: Vec<Tally>,
     pub tenants: Vec<Tally>,
     pub tenant_rates: Vec<f64>,
+    pub fleet: f64,
     /// Tries read of late, and begun.
     pub tries: Tally,
     /// Since when the tallies count.
@@ -178,6 +179,7 @@
             tenants: vec![Tally::default(); terms.tenant_rates.len()],
             tries: Tally::default(),
             tenant_rates: terms.tenant_rates.clone(),
+            fleet: f64::from(terms.fleet.max(1)),
             tallied: now,
             over_share: terms.over_share,
             goal: if terms.goal.iter().sum::<f64>() > 0.0 { terms.goal } else { [1.0, 0.0, 0.0] },
