--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -65,7 +65,7 @@
 /// How far behind the worst-served method or tenant one still gets part of its boost, as a part of service.
 const WORST_BAND: f64 = 0.1;
 /// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
-const RETRIED: f64 = 0.1;
+const RETRIED: f64 = 0.25;
 /// Open connections for each core beyond which idle ones close sooner: several for each RPC it can have in hand.
 const CONNECTIONS: f64 = 16.0;
 /// Part of the tries read that are begun below which more connections only bring more pushbacks.
@@ -268,7 +268,7 @@
             self.limit = (self.limit - 1).max(1);
         } else if self.limit < site.cores || (waits && busy < 0.9 && site.count(Place::Running) >= self.limit)
         {
-            self.limit = (self.limit + 1).min(site.cores * 2);
+            self.limit = (self.limit + 1).min(site.cores + 1);
         } else if busy > 0.97 && self.limit > site.cores {
             self.limit -= 1;
         }
