--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -268,7 +268,7 @@
             self.limit = (self.limit - 1).max(1);
         } else if self.limit < site.cores || (waits && busy < 0.9 && site.count(Place::Running) >= self.limit)
         {
-            self.limit = (self.limit + 1).min(site.cores * 2);
+            self.limit = (self.limit + 1).min((site.cores * 3).div_ceil(2));
         } else if busy > 0.97 && self.limit > site.cores {
             self.limit -= 1;
         }
