--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -261,14 +261,15 @@
         !self.stalled && site.count(Place::Running) < self.limit && site.started() < self.ceiling(site)
     }
 
-    /// Grows while cores idle and work waits, shrinks back when they don't.
+    /// Grows while cores idle and work waits, shrinks back when they don't. Guards against runs that share so few
+    /// cores with reading that neither ends: one core of the second round is left to it.
     fn adjust(&mut self, site: &Site, waits: bool, busy: f64, unread: f64) {
         if unread > 1.0 {
             // Guards against runs that leave reading too little of the cores: all would be read too late.
             self.limit = (self.limit - 1).max(1);
         } else if self.limit < site.cores || (waits && busy < 0.9 && site.count(Place::Running) >= self.limit)
         {
-            self.limit = (self.limit + 1).min((site.cores * 3).div_ceil(2));
+            self.limit = (self.limit + 1).min(site.cores * 2 - 1);
         } else if busy > 0.97 && self.limit > site.cores {
             self.limit -= 1;
         }
