--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -71,7 +71,7 @@
 /// Part of the tries read that are begun below which more connections only bring more pushbacks.
 const STORM: f64 = 0.2;
 /// RPCs for each core that callers together may have here, where the free value is a credit.
-const CREDIT: f64 = 3.0;
+const CREDIT: f64 = 4.0;
 
 enum Step {
     Pass,
