--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -67,7 +67,7 @@
 /// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
 const RETRIED: f64 = 0.25;
 /// Open connections for each core beyond which idle ones close sooner: several for each RPC it can have in hand.
-const CONNECTIONS: f64 = 11.0;
+const CONNECTIONS: f64 = 16.0;
 /// Part of the tries read that are begun below which more connections only bring more pushbacks.
 const STORM: f64 = 0.2;
 /// RPCs for each core that callers together may have here, where the free value is a credit.
