--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -720,7 +720,7 @@
         // Guards against a line nobody has read yet; a slow server sees it only by the age of what it reads.
         let waited = Hold::waited(&self.site).max(self.unread);
         self.unread *= 0.8;
-        let step = if waited > 0.5 { 0.1 } else { -0.03 };
+        let step = if waited > 0.5 { 0.1 } else { -0.1 };
         self.shed = (self.shed + step).clamp(0.0, 0.95);
         let open = if self.guard.noticed.is_some() || self.cores.stalled { 0.0 } else { 1.0 - self.shed };
         let value = match self.advert {
