--- a/crates/coralstep/tests/scenarios.rs
+++ b/crates/coralstep/tests/scenarios.rs
@@ -46,6 +46,9 @@
     fn health(&mut self, good: bool) {
         self.0.push(format!("health {}", if good { "good" } else { "bad" }));
     }
+    fn advertise(&mut self, value: f64) {
+        self.0.push(format!("value {value:.2}"));
+    }
     fn idle_limit(&mut self, span: Span) {
         self.0.push(format!("idle {}", span.0 / 10));
     }
@@ -97,6 +100,7 @@
             "key" => terms.key_kb = number(value),
             "crowd" => terms.survivable_crowd = number(value),
             "grace" => terms.drain_grace = ms(value),
+            "advert" => terms.advert = if value == "weight" { Advert::Weight } else { Advert::Off },
             "idle" => terms.caller_idle = ms(value),
             "linger" => terms.linger = ms(value),
             "cold" => {
