--- a/crates/coralstep-server/src/course.rs
+++ b/crates/coralstep-server/src/course.rs
@@ -95,7 +95,7 @@
                 Event::Called(ended) => {
                     call = None;
                     if let Some(answer) = &ended.answer {
-                        run.feed(answer, repeatable);
+                        run.feed(answer);
                     }
                     news = News::Called { end: ended.end, took: ended.took };
                 }
--- a/crates/coralstep-server/src/engine.rs
+++ b/crates/coralstep-server/src/engine.rs
@@ -52,6 +52,7 @@
     ready: bool,
 }
 
+#[derive(Default)]
 pub struct Engine {
     runs: RefCell<HashMap<Ref, Run>>,
     link: RefCell<Option<Link>>,
@@ -83,10 +84,11 @@
         self.engine.command(self.id, bytes, repeatable, true);
     }
 
-    pub fn feed(&self, answer: &[u8], repeatable: bool) {
+    /// Never sent again: the run may have come to its next call, which another reply would then answer.
+    pub fn feed(&self, answer: &[u8]) {
         let mut bytes = Vec::new();
         lines::put(&mut bytes, format_args!("FEED {}", self.id), Some(answer));
-        self.engine.command(self.id, bytes, repeatable, false);
+        self.engine.command(self.id, bytes, false, false);
     }
 
     /// Lost with a broken link: the run then goes on to its end for nobody.
@@ -114,18 +116,6 @@
 }
 
 impl Engine {
-    pub fn new() -> Engine {
-        Engine {
-            runs: RefCell::default(),
-            link: RefCell::default(),
-            links: Cell::new(0),
-            last: Cell::new(0),
-            readings: RefCell::default(),
-            asked: Cell::new(false),
-            began: Cell::new(None),
-        }
-    }
-
     pub fn knows(&self, id: Ref) -> bool {
         self.runs.borrow().contains_key(&id)
     }
@@ -154,10 +144,9 @@
         let mut runs = self.runs.borrow_mut();
         let Some(run) = runs.get_mut(&id) else { return };
         run.started |= starts;
-        let sent = match self.link.borrow().as_ref().filter(|link| link.ready) {
-            Some(link) => Some((link.number, link.out.put(|out| out.extend_from_slice(&bytes)))),
-            None => None,
-        };
+        let link = self.link.borrow();
+        let link = link.as_ref().filter(|link| link.ready);
+        let sent = link.map(|link| (link.number, link.out.put(|out| out.extend_from_slice(&bytes))));
         run.command = Some(Command { bytes, repeatable, sent });
     }
 
--- a/crates/coralstep-server/src/gateway.rs
+++ b/crates/coralstep-server/src/gateway.rs
@@ -9,6 +9,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use event_listener::Event;
+use futures_lite::future::yield_now;
 use futures_lite::{AsyncReadExt, FutureExt};
 
 use crate::clock;
@@ -33,6 +34,8 @@
 const LEAVE: Duration = Duration::from_secs(5);
 /// Bytes of a frame may trickle in for so long; a pause of the machine is shorter.
 const TRICKLE: Duration = Duration::from_secs(30);
+/// Nothing more is read of a gateway that leaves so many bytes of answers unread.
+const OUT_MOST: usize = 32 * 1024;
 const READ: usize = 4 * 1024;
 
 /// One connection.
@@ -191,7 +194,9 @@
 
     async fn serve(self: &Rc<Self>, stream: &Async<TcpStream>, peer: &Rc<Peer>) {
         let read = async {
-            let end = self.read(stream, peer).await;
+            if let Err(why) = self.read(stream, peer).await {
+                note!("connection ended: {why}");
+            }
             // Open answers still go out; then the connection ends.
             while peer.open.get() > 0 {
                 let answered = peer.answered.listen();
@@ -200,13 +205,7 @@
                 }
             }
             peer.out.close();
-            match end {
-                Ok(()) => std::future::pending().await,
-                Err(why) => {
-                    note!("connection ended: {why}");
-                    std::future::pending().await
-                }
-            }
+            std::future::pending().await
         };
         let write = async {
             let _ = peer.out.run(stream).await;
@@ -218,7 +217,7 @@
     async fn read(self: &Rc<Self>, mut stream: &Async<TcpStream>, peer: &Rc<Peer>) -> Result<(), String> {
         let (mut buffer, mut filled) = (vec![0; READ], 0);
         loop {
-            peer.out.below(self.limits.buffer).await;
+            peer.out.below(OUT_MOST).await;
             if filled == buffer.len() {
                 buffer.resize(2 * filled, 0);
             }
@@ -235,6 +234,8 @@
                 Ok(count) => filled += count,
                 Err(why) => return Err(why.to_string()),
             }
+            // Guards against a gateway that always has more to read: others and the timers come in between.
+            yield_now().await;
             let mut used = 0;
             loop {
                 match thrift::frame(&buffer[used..filled]) {
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -46,12 +46,12 @@
         .map_err(|why| io::Error::new(why.kind(), format!("listen: {listen}: {why}")))?;
     let executor = Rc::new(LocalExecutor::new());
     let facade = Rc::new(Facade::new(config.terms, config.names, config.seed, &config.limits));
-    let engine = Rc::new(Engine::new());
+    let engine = Rc::new(Engine::default());
     let store = Rc::new(Store::new(store_at, executor.clone()));
     let course = Rc::new(Course { facade: facade.clone(), engine: engine.clone(), store });
     let gateway = Rc::new(Gateway::new(executor.clone(), facade.clone(), course, config.limits));
     let leaving = Cell::new(false);
-    note!("{name} listens on {listen}");
+    note!("{name} listens on {}", listener.get_ref().local_addr().unwrap_or(listen));
     let forever = async {
         let parts: Vec<Part<'_>> = vec![
             Box::pin(engine.keep(engine_at, &facade)),
--- a/crates/coralstep-server/src/lines.rs
+++ b/crates/coralstep-server/src/lines.rs
@@ -4,7 +4,7 @@
 
 /// The longest line and the longest body that are read.
 pub const LINE_MOST: usize = 1024;
-pub const BODY_MOST: usize = 64 * 1024;
+pub const BODY_MOST: usize = 16 * 1024;
 
 /// These bytes are no message; what follows them can't be told apart.
 #[derive(Debug, PartialEq, Eq)]
@@ -42,10 +42,10 @@
 /// The words of the first message, its body where `has_body` says that the last word is a length, and what both
 /// take. Empty lines are passed over.
 #[allow(clippy::type_complexity)]
-pub fn message<'a>(
-    bytes: &'a [u8],
+pub fn message(
+    bytes: &[u8],
     has_body: impl Fn(&[&str]) -> bool,
-) -> Result<Option<(Vec<&'a str>, &'a [u8], usize)>, Garbled> {
+) -> Result<Option<(Vec<&str>, &[u8], usize)>, Garbled> {
     let mut start = 0;
     loop {
         let Some((text, used)) = line(&bytes[start..])? else { return Ok(None) };
--- a/crates/coralstep-server/src/store.rs
+++ b/crates/coralstep-server/src/store.rs
@@ -9,6 +9,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use event_listener::Event;
+use futures_lite::future::yield_now;
 use futures_lite::{AsyncReadExt, FutureExt};
 
 use crate::facade::CallEnd;
@@ -80,6 +81,8 @@
         let deadline = self.began + self.patience + SILENT;
         let out_of_time = async {
             Timer::at(deadline).await;
+            // Guards against a pause of the process: the reply may have come, unread as yet.
+            yield_now().await;
             None
         };
         let (store, id, number) = (self.store, self.id, self.number);
--- /dev/null
+++ b/crates/coralstep-server/tests/serve.rs
@@ -0,0 +1,474 @@
+//! The program against stand-ins for its engine, store, control plane and gateways.
+mod stand_ins;
+
+use std::process::Command;
+use std::time::Instant;
+
+use stand_ins::{Gate, LIMIT, Lines, Rig, Said, id};
+
+fn ok(seq: i32, body: &str) -> Said {
+    Said::Answer { seq, body: body.into(), good: true }
+}
+
+#[test]
+fn an_rpc_runs_and_its_result_comes_back_unchanged() {
+    let rig = Rig::start();
+    let mut gate = rig.gate();
+    // A health check doesn't wait for the engine.
+    assert!(gate.ping());
+    let mut engine = rig.engine(0, "old 3600000");
+    let seq = gate.invoke("pay", &id(1), b"\0\r\n\xff", &[]);
+    assert_eq!(engine.expect_run(&id(1), "pay"), b"\0\r\n\xff");
+    engine.send("NOTE 1 nothing of meaning\r\n");
+    engine.done(2, &id(1), "good", "a\r\nb");
+    assert_eq!(gate.said(), ok(seq, "a\r\nb"));
+    let mut lease = [0; 64];
+    let count = rig.control.recv(&mut lease).unwrap();
+    assert_eq!(&lease[..count], b"lease n3 Ready");
+}
+
+#[test]
+fn a_run_that_fails_is_an_error_and_its_connection_goes_on() {
+    let (rig, mut engine) = Rig::ready();
+    let mut gate = rig.gate();
+    let seq = gate.invoke("pay", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "pay");
+    engine.done(1, &id(1), "bad", "");
+    assert_eq!(gate.said(), Said::Internal { seq });
+    assert!(gate.ping());
+}
+
+#[test]
+fn a_call_goes_to_the_store_and_its_reply_to_the_run() {
+    let (rig, mut engine) = Rig::ready();
+    let mut gate = rig.gate();
+    let seq = gate.invoke("read", &id(1), b"x", &[]);
+    engine.expect_run(&id(1), "read");
+    engine.need(1, &id(1), "which?");
+    let mut store = rig.store();
+    let (head, body) = store.command();
+    assert!(head.starts_with(&format!("CALL {} ", id(1))), "{head}");
+    assert_eq!(body, b"which?");
+    store.send(&format!("{} OK 5\r\nthis.\r\n", id(1)));
+    assert_eq!(engine.command(), (format!("FEED {}", id(1)), b"this.".to_vec()));
+    engine.done(2, &id(1), "good", "done");
+    assert_eq!(gate.said(), ok(seq, "done"));
+}
+
+/// A `book` at its call.
+fn at_a_call(rig: &Rig, engine: &mut Lines, method: &str) -> (Gate, i32) {
+    let mut gate = rig.gate();
+    let seq = gate.invoke(method, &id(1), b"", &[]);
+    engine.expect_run(&id(1), method);
+    engine.need(1, &id(1), "q");
+    (gate, seq)
+}
+
+#[test]
+fn a_call_with_an_effect_is_repeated_only_if_it_never_ran() {
+    for (reply, again) in [("BUSY", true), ("VOID", true), ("ERR", false), ("LATE", false)] {
+        let (rig, mut engine) = Rig::ready();
+        let (mut gate, seq) = at_a_call(&rig, &mut engine, "book");
+        let mut store = rig.store();
+        store.command();
+        store.send(&format!("{} {reply}\r\n", id(1)));
+        if again {
+            assert_eq!(store.command().1, b"q", "{reply}");
+            store.send(&format!("{} OK 0\r\n\r\n", id(1)));
+            assert_eq!(engine.command(), (format!("FEED {}", id(1)), Vec::new()));
+            engine.done(2, &id(1), "good", "");
+            assert_eq!(gate.said(), ok(seq, ""));
+        } else {
+            assert_eq!(gate.said(), Said::Internal { seq }, "{reply}");
+        }
+    }
+}
+
+#[test]
+fn a_link_to_the_store_that_breaks_proves_nothing() {
+    let (rig, mut engine) = Rig::ready();
+    let (mut gate, seq) = at_a_call(&rig, &mut engine, "book");
+    let mut store = rig.store();
+    store.command();
+    drop(store);
+    assert_eq!(gate.said(), Said::Internal { seq });
+}
+
+#[test]
+fn while_the_store_is_down_calls_end_at_once() {
+    let (mut rig, mut engine) = Rig::ready();
+    rig.close_store();
+    let (mut gate, seq) = at_a_call(&rig, &mut engine, "read");
+    assert!(matches!(gate.said(), Said::Overloaded { seq: of, cooldown: Some(_), .. } if of == seq));
+    // Its run ends at the call, as its RPC is over; others are served as before.
+    engine.done(2, &id(1), "cut", "");
+    let seq = gate.invoke("pay", &id(2), b"", &[]);
+    engine.expect_run(&id(2), "pay");
+    engine.done(3, &id(2), "good", "paid");
+    assert_eq!(gate.said(), ok(seq, "paid"));
+}
+
+#[test]
+fn a_store_that_says_nothing_is_dropped_and_its_late_reply_is_not_taken_for_another() {
+    let (rig, mut engine) = Rig::ready();
+    let (mut gate, seq) = at_a_call(&rig, &mut engine, "read");
+    // A quick call first: so long is the next one waited for.
+    let mut silent = rig.store();
+    silent.command();
+    silent.send(&format!("{} OK 0\r\n\r\n", id(1)));
+    engine.command();
+    engine.need(2, &id(1), "q");
+    silent.command();
+    assert_eq!(silent.command(), (format!("DROP {}", id(1)), Vec::new()));
+    // The repeat takes another link; what still comes over the old one is nobody's.
+    let mut store = rig.store();
+    store.command();
+    silent.send(&format!("{} OK 5\r\nstale\r\n", id(1)));
+    rig.logged("a late reply");
+    store.send(&format!("{} OK 5\r\nfresh\r\n", id(1)));
+    assert_eq!(engine.command(), (format!("FEED {}", id(1)), b"fresh".to_vec()));
+    engine.done(3, &id(1), "good", "");
+    assert_eq!(gate.said(), ok(seq, ""));
+}
+
+#[test]
+fn an_engine_that_hangs_delays_no_answer_and_its_late_result_is_dropped() {
+    let (rig, mut engine) = Rig::ready();
+    let mut gate = rig.gate();
+    let start = Instant::now();
+    let seq = gate.invoke("book", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "book");
+    assert_eq!(gate.said(), Said::Internal { seq });
+    assert!(start.elapsed().as_millis() <= 2_050, "{:?}", start.elapsed());
+    engine.done(1, &id(1), "good", "late");
+    engine.send(&format!("DONE 1 {} good 7 0\r\n\r\nDONE 2 {} odd 7 0\r\n\r\nWHAT\r\n", id(1), id(77)));
+    rig.logged("unknown message WHAT");
+    // The next thing on the connection is the answer to the check.
+    assert!(gate.ping());
+}
+
+#[test]
+fn a_token_runs_once_and_its_repeats_get_the_same_answer() {
+    let (rig, mut engine) = Rig::ready();
+    let (mut gate, token) = (rig.gate(), [("replay", "T-1")]);
+    let first = gate.invoke("pay", &id(1), b"", &token);
+    engine.expect_run(&id(1), "pay");
+    // One that comes while the first runs, one that comes after it.
+    let second = gate.invoke("pay", &id(2), b"", &[token[0], ("dup", "1")]);
+    engine.done(1, &id(1), "good", "paid");
+    assert_eq!(gate.said(), ok(first, "paid"));
+    assert_eq!(gate.said(), ok(second, "paid"));
+    let third = gate.invoke("pay", &id(3), b"", &[token[0], ("dup", "1")]);
+    assert_eq!(gate.said(), ok(third, "paid"));
+    // Nothing but another token runs.
+    let other = gate.invoke("pay", &id(4), b"", &[("replay", "T-2")]);
+    engine.expect_run(&id(4), "pay");
+    engine.done(2, &id(4), "bad", "");
+    assert_eq!(gate.said(), Said::Internal { seq: other });
+    let again = gate.invoke("pay", &id(5), b"", &[("replay", "T-2")]);
+    assert_eq!(gate.said(), Said::Internal { seq: again });
+}
+
+#[test]
+fn notices_missed_while_the_link_was_down_are_read_from_the_next() {
+    let (rig, mut engine) = Rig::ready();
+    let mut gate = rig.gate();
+    let seq = gate.invoke("book", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "book");
+    engine.send("NOTE 1 x\r\n");
+    engine.done(2, &id(9), "good", "nobody's");
+    rig.logged("not known");
+    drop(engine);
+    let mut engine = rig.attach(2);
+    engine.send(&format!("HELLO old 3600000\r\nDONE 3 {} good 7 2\r\nok\r\n", id(1)));
+    assert_eq!(gate.said(), ok(seq, "ok"));
+    engine.caught_up();
+    let next = gate.invoke("pay", &id(2), b"", &[]);
+    engine.expect_run(&id(2), "pay");
+    engine.done(4, &id(2), "good", "");
+    assert_eq!(gate.said(), ok(next, ""));
+}
+
+#[test]
+fn a_run_in_doubt_is_sent_again_only_where_that_does_no_harm() {
+    let (rig, mut engine) = Rig::ready();
+    let mut gate = rig.gate();
+    let book = gate.invoke("book", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "book");
+    let read = gate.invoke("read", &id(2), b"", &[]);
+    engine.expect_run(&id(2), "read");
+    drop(engine);
+    let mut engine = rig.engine(0, "old 3600000");
+    engine.expect_run(&id(2), "read");
+    engine.done(1, &id(2), "good", "again");
+    assert_eq!(gate.said(), ok(read, "again"));
+    assert_eq!(gate.said(), Said::Internal { seq: book });
+    assert!(rig.logged("in doubt").contains(&id(1)));
+}
+
+#[test]
+fn what_is_admitted_while_no_link_exists_runs_on_the_next() {
+    let (rig, engine) = Rig::ready();
+    drop(engine);
+    rig.logged("engine link ended");
+    let mut engine = rig.attach(0);
+    let mut gate = rig.gate();
+    let seq = gate.invoke("book", &id(1), b"", &[]);
+    engine.send("HELLO old 3600000\r\n");
+    engine.caught_up();
+    engine.expect_run(&id(1), "book");
+    engine.done(1, &id(1), "good", "");
+    assert_eq!(gate.said(), ok(seq, ""));
+}
+
+#[test]
+fn another_engine_ends_what_ran() {
+    let (rig, mut engine) = Rig::ready();
+    let mut gate = rig.gate();
+    let seq = gate.invoke("book", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "book");
+    drop(engine);
+    let mut engine = rig.engine(0, "new 5");
+    assert_eq!(gate.said(), Said::Internal { seq });
+    let next = gate.invoke("pay", &id(2), b"", &[]);
+    engine.expect_run(&id(2), "pay");
+    engine.done(1, &id(2), "good", "");
+    assert_eq!(gate.said(), ok(next, ""));
+}
+
+#[test]
+fn a_drain_answers_all_and_runs_nothing_that_came_after_the_grace() {
+    let (mut rig, mut engine) = Rig::ready();
+    let (mut gate, mut other) = (rig.gate(), rig.gate());
+    let book = gate.invoke("book", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "book");
+    rig.terminate();
+    let notice = Instant::now();
+    rig.logged("leaving");
+    assert!(!other.ping());
+    // One core hangs, the other does what it is given.
+    let runs = std::thread::spawn(move || {
+        let mut runs = 0;
+        for number in 1.. {
+            let Ok(line) = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| engine.command())) else {
+                break;
+            };
+            let id = line.0.split(' ').nth(1).unwrap().to_owned();
+            engine.done(number, &id, "good", "");
+            runs += 1;
+        }
+        runs
+    });
+    let mut served = 0;
+    for index in 2.. {
+        let seq = other.invoke("read", &id(index), b"", &[]);
+        match other.said() {
+            Said::Answer { .. } => served += 1,
+            said => {
+                // The design's advice of a server that leaves; elsewhere is better.
+                assert_eq!(said, Said::Overloaded { seq, cooldown: Some(5_000), nowhere: false });
+                break;
+            }
+        }
+    }
+    assert!(notice.elapsed().as_millis() >= 150, "{:?}", notice.elapsed());
+    assert_eq!(gate.said(), Said::Internal { seq: book });
+    assert_eq!(gate.said(), Said::Closing);
+    assert_eq!(other.said(), Said::Closing);
+    drop((gate, other));
+    assert_eq!(rig.ended().code(), Some(0));
+    assert!(notice.elapsed().as_millis() < 1_500, "{:?}", notice.elapsed());
+    assert_eq!(runs.join().unwrap(), served);
+}
+
+#[test]
+fn a_server_whose_engine_never_came_leaves_too() {
+    let mut rig = Rig::start();
+    let mut gate = rig.gate();
+    let seq = gate.invoke("book", &id(1), b"", &[]);
+    rig.terminate();
+    assert!(matches!(gate.said(), Said::Internal { seq: of } if of == seq));
+    drop(gate);
+    assert_eq!(rig.ended().code(), Some(0));
+}
+
+#[test]
+fn what_is_not_understood_gets_an_exception_where_it_can_be_named() {
+    let (rig, mut engine) = Rig::ready();
+    let mut gate = rig.gate();
+    let good = [("service", "pay"), ("ref", "9b1f03aa5c7e2d41"), ("since", "1"), ("room", "1.5")];
+    let mut calls = vec![gate.call("novelty", b""), gate.call("invoke", b""), gate.framed(&good, &[0; 2049])];
+    for (at, bad) in [(0, "tray"), (1, "short"), (2, "-1"), (3, "0"), (3, "2000"), (3, "NaN"), (3, "many")] {
+        let mut fields = good;
+        fields[at].1 = bad;
+        calls.push(gate.framed(&fields, b""));
+    }
+    for at in 0..4 {
+        let fields = [&good[..at], &good[at + 1..]].concat();
+        calls.push(gate.framed(&fields, b""));
+    }
+    let count = calls.len() as i32;
+    // Every split of the bytes is met on the way.
+    for byte in calls.concat() {
+        gate.write(&[byte]);
+    }
+    for seq in 1..=count {
+        assert_eq!(gate.said(), Said::Exception { seq });
+    }
+    let seq = gate.invoke("pay", &id(1), b"", &[("unheard", "of")]);
+    engine.expect_run(&id(1), "pay");
+    let again = gate.invoke("pay", &id(1), b"", &[]);
+    assert_eq!(gate.said(), Said::Exception { seq: again });
+    engine.done(1, &id(1), "good", "");
+    assert_eq!(gate.said(), ok(seq, ""));
+}
+
+#[test]
+fn garbled_bytes_end_their_connection_alone_after_its_open_answers() {
+    let (rig, mut engine) = Rig::ready();
+    let mut other = rig.gate();
+    for (index, bytes) in
+        [&[0xff; 64][..], &[0; 8], b"\0\0\0\x04abcd", b"\0\0\0\x0c\x80\x02\0\x01\0\0\0\0\0\0\0\x01"]
+            .into_iter()
+            .enumerate()
+    {
+        let mut gate = rig.gate();
+        let index = index as u64 + 1;
+        let seq = gate.invoke("pay", &id(index), b"", &[]);
+        engine.expect_run(&id(index), "pay");
+        gate.write(bytes);
+        rig.logged("connection ended");
+        engine.done(index, &id(index), "good", "still");
+        assert_eq!(gate.said(), ok(seq, "still"));
+        assert!(gate.ended());
+        assert!(other.ping());
+    }
+}
+
+#[test]
+fn a_connection_carries_32_open_requests_and_no_more() {
+    let (rig, mut engine) = Rig::ready();
+    let mut gate = rig.gate();
+    for index in 1..=33 {
+        gate.invoke("book", &id(index), b"", &[]);
+    }
+    assert_eq!(gate.said(), Said::Exception { seq: 33 });
+    engine.command();
+    engine.command();
+    // Two run; the others are held and pushed back, each once, and the two fail when they are due.
+    let mut answered: Vec<i32> = (0..32)
+        .map(|_| match gate.said() {
+            Said::Overloaded { seq, .. } | Said::Internal { seq } => seq,
+            said => panic!("{said:?}"),
+        })
+        .collect();
+    answered.sort_unstable();
+    assert_eq!(answered, (1..=32).collect::<Vec<i32>>());
+    // There is room again. The check is not a good one while both cores stand still.
+    gate.ping();
+}
+
+#[test]
+fn descriptors_used_up_pause_the_accepting_only() {
+    for (limits, shell) in [("\"sockets\":36", ""), ("\"sockets\":1024", "ulimit -n 18;")] {
+        let rig = Rig::with(limits, shell);
+        let engine = rig.engine(0, "old 3600000");
+        std::thread::spawn(|| engine.until_end());
+        let mut gates: Vec<Gate> = (0..20).map(|_| rig.gate()).collect();
+        for gate in &mut gates {
+            let check = gate.call("ping", b"\x02\x00\x01\x00");
+            gate.write(&check);
+        }
+        let mut last = gates.pop().unwrap();
+        assert_eq!(gates[0].said(), ok(1, ""), "{limits} {shell}");
+        last.stream.set_nonblocking(true).unwrap();
+        assert!(last.stream.peek(&mut [0]).is_err(), "{limits} {shell}");
+        last.stream.set_nonblocking(false).unwrap();
+        drop(gates);
+        assert_eq!(last.said(), ok(1, ""), "{limits} {shell}");
+    }
+}
+
+#[test]
+fn a_gateway_that_stops_reading_is_no_longer_read_and_hurts_nobody() {
+    let (rig, engine) = Rig::ready();
+    std::thread::spawn(|| engine.until_end());
+    let (mut deaf, mut other) = (rig.gate(), rig.gate());
+    deaf.stream.set_write_timeout(Some(LIMIT / 20)).unwrap();
+    let checks: Vec<u8> = (0..1000).flat_map(|_| deaf.call("ping", b"\x02\x00\x01\x00")).collect();
+    let mut written = 0;
+    while let Ok(()) = std::io::Write::write_all(&mut deaf.stream, &checks) {
+        written += checks.len();
+        assert!(written < 1 << 30, "all of it is read");
+    }
+    assert!(other.ping());
+    let status = std::fs::read_to_string(format!("/proc/{}/status", rig.child.id())).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+    let kb: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
+    assert!(kb < 64 * 1024, "{kb} kB");
+}
+
+#[test]
+fn a_full_table_of_connections_asks_idle_gateways_to_leave() {
+    let (rig, mut engine) = Rig::ready();
+    let (mut gate, mut idle) = (rig.gate(), rig.gate());
+    let seq = gate.invoke("pay", &id(1), b"", &[]);
+    assert!(idle.ping());
+    let run = std::thread::spawn(move || {
+        let (head, _) = engine.command_at("0.5 1 0.1 500");
+        assert_eq!(head, format!("RUN {} pay", id(1)));
+        engine.done(1, &id(1), "good", "");
+        let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| engine.command_at("0.5 1 0.1 500")));
+    });
+    assert_eq!(gate.said(), ok(seq, ""));
+    assert_eq!(idle.said(), Said::Closing);
+    // What crosses it is still served.
+    assert!(idle.ping());
+    assert!(idle.pressure.is_some_and(|value| value > 0.0));
+    drop(rig);
+    run.join().unwrap();
+}
+
+/// What `coralstep ARGS` prints and whether it is content.
+fn run(args: &[&str], config: Option<&str>) -> (bool, String, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_coralstep"));
+    command.args(args).env_remove("RELAY_CONFIG");
+    let file = std::env::temp_dir().join(format!("coralstep-check-{}.json", std::process::id()));
+    if let Some(config) = config {
+        std::fs::write(&file, config).unwrap();
+        command.env("RELAY_CONFIG", &file);
+    }
+    let output = command.output().unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (output.status.success(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn the_command_line_says_what_is_wrong_in_one_line() {
+    assert_eq!(
+        run(&["version"], None),
+        (true, format!("coralstep {}\n", env!("CARGO_PKG_VERSION")), String::new())
+    );
+    assert!(run(&["--help"], None).1.starts_with("usage: coralstep serve"));
+    let config = format!(
+        r#"{{"name":"n3","listen":"127.0.0.1:0","engine":"127.0.0.1:1","control":"127.0.0.1:1","store":"127.0.0.1:1",
+        "seed":"1","settings":{}}}"#,
+        stand_ins::SETTINGS
+    );
+    let (good, printed, _) = run(&["check"], Some(&config));
+    assert_eq!((good, printed.as_str()), (true, "n3: 3 methods, 1 tenants, listens on 127.0.0.1:0\n"));
+    let bad = config.replacen("\"deadline\":2000000000", "\"deadline\":\"soon\"", 1);
+    for (args, config, fault) in [
+        (&["check"][..], None, "RELAY_CONFIG: not set"),
+        (&["serve"], Some(bad.as_str()), "settings: classes.1.deadline=soon is no proper value"),
+        (&["check"], Some("nonsense"), "not JSON"),
+        (&["check", "--config", "/nowhere"], None, "/nowhere: No such file"),
+        (&["fly"], None, "unknown sub-command \"fly\""),
+        (&[], None, "no sub-command"),
+        (&["serve", "--fast"], None, "--fast"),
+    ] {
+        let (good, printed, said) = run(args, config);
+        assert!(!good && printed.is_empty() && said.contains(fault), "{args:?}: {said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+    }
+}
--- /dev/null
+++ b/crates/coralstep-server/tests/stand_ins/mod.rs
@@ -0,0 +1,416 @@
+//! Starts the program against stand-ins for all that it speaks with, each driven by the test step by step. Every
+//! read has a limit, after which the test fails; nothing is proved by waiting.
+#![allow(dead_code)]
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant, SystemTime};
+
+/// The longest that anything may take.
+pub const LIMIT: Duration = Duration::from_secs(10);
+
+/// Three methods: `read` calls and may run again, `book` calls and must not, `pay` bears a token.
+pub const SETTINGS: &str = r#"{
+  "classes": [
+    {"name":"read","idempotency":"repeatable","promise":2000000000,"deadline":4000000000,"worth":1,"late_worth":0.2},
+    {"name":"book","idempotency":"once","promise":1000000000,"deadline":2000000000,"worth":3,"late_worth":0.2},
+    {"name":"pay","idempotency":"by_key","promise":4000000000,"deadline":10000000000,"worth":2,"window":20000000000}
+  ],
+  "domain": {"cores":2,"depends_on":"shared","call_share":20.0,"calls_by_class":[true,true,false],
+    "class_skip_worth":[0.0,0.0,0.0],"memory_kb":20000,"run_factor":8,"key_kb":50,"preemption":"drop",
+    "gauges":["cpu_busy","runnable","mem_used","sockets"],"advert":"weight","callers":3,
+    "caller_idle":1000000000,"linger":100000000},
+  "safety": {"drain_grace":200000000,"fall_multiple":8,"cold_from":0.3,"warm_after":10000000000},
+  "realms": [{"name":"north","quota_rps":50}], "group_size": 4,
+  "goal": {"whole":1}, "worth_by":"request"
+}"#;
+
+pub struct Rig {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub control: UdpSocket,
+    engine: TcpListener,
+    store: Option<TcpListener>,
+    log: Receiver<String>,
+    folder: std::path::PathBuf,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn local() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+fn accept(listener: &TcpListener) -> Lines {
+    listener.set_nonblocking(true).unwrap();
+    let start = Instant::now();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).unwrap();
+                return Lines::new(stream);
+            }
+            Err(why) if why.kind() == ErrorKind::WouldBlock => std::thread::sleep(Duration::from_millis(1)),
+            Err(why) => panic!("{why}"),
+        }
+        assert!(start.elapsed() < LIMIT, "nobody connects");
+    }
+}
+
+impl Rig {
+    /// The program runs, its engine isn't up yet.
+    pub fn start() -> Rig {
+        Rig::with("\"sockets\":1024", "")
+    }
+
+    /// `shell` stands before the program, for limits of the system.
+    pub fn with(limits: &str, shell: &str) -> Rig {
+        let (engine, store, control) = (local(), local(), UdpSocket::bind("127.0.0.1:0").unwrap());
+        control.set_read_timeout(Some(LIMIT)).unwrap();
+        let at = |listener: &TcpListener| listener.local_addr().unwrap();
+        let config = format!(
+            r#"{{"name":"n3","listen":"127.0.0.1:0","engine":"{}","control":"{}","store":"{}",
+            "seed":"8c1f30d27a5be964","stop_ms":1500,"limits":{{"cores":1.0,"memory_mb":192,{limits}}},
+            "settings":{SETTINGS}}}"#,
+            at(&engine),
+            control.local_addr().unwrap(),
+            at(&store)
+        );
+        let folder =
+            std::env::temp_dir().join(format!("coralstep-{}-{}", std::process::id(), at(&engine).port()));
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("config.json"), config).unwrap();
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", &format!("{shell} exec \"$0\" serve"), env!("CARGO_BIN_EXE_coralstep")])
+            .env("RELAY_CONFIG", folder.join("config.json"))
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (sender, log) = channel();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || {
+            stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line))
+        });
+        let first = log.recv_timeout(LIMIT).unwrap();
+        let address =
+            first.strip_prefix("n3 listens on ").unwrap_or_else(|| panic!("{first}")).parse().unwrap();
+        Rig { child, address, control, engine, store: Some(store), log, folder }
+    }
+
+    /// The program runs and its engine has been up, warm, for an hour.
+    pub fn ready() -> (Rig, Lines) {
+        let rig = Rig::start();
+        let engine = rig.engine(0, "old 3600000");
+        (rig, engine)
+    }
+
+    /// Takes the engine's next link, which must know notices up to `last`.
+    pub fn engine(&self, last: u64, hello: &str) -> Lines {
+        let mut engine = self.attach(last);
+        engine.send(&format!("HELLO {hello}\r\n"));
+        engine.caught_up();
+        engine
+    }
+
+    /// A link on which the engine has not said anything.
+    pub fn attach(&self, last: u64) -> Lines {
+        let mut engine = accept(&self.engine);
+        assert_eq!(engine.line(), format!("ATTACH {last}"));
+        engine
+    }
+
+    pub fn store(&self) -> Lines {
+        accept(self.store.as_ref().unwrap())
+    }
+
+    /// Nobody listens at the store's address any more.
+    pub fn close_store(&mut self) {
+        self.store = None;
+    }
+
+    pub fn gate(&self) -> Gate {
+        Gate::new(TcpStream::connect(self.address).unwrap())
+    }
+
+    /// Reads the log up to a line that holds `text`.
+    pub fn logged(&self, text: &str) -> String {
+        let start = Instant::now();
+        loop {
+            let line = self.log.recv_timeout(LIMIT).unwrap_or_else(|_| panic!("never logged: {text}"));
+            if line.contains(text) {
+                return line;
+            }
+            assert!(start.elapsed() < LIMIT, "never logged: {text}");
+        }
+    }
+
+    pub fn terminate(&self) {
+        let kill = format!("kill -TERM {}", self.child.id());
+        assert!(Command::new("/bin/sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(start.elapsed() < LIMIT, "the program goes on");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
+/// The far end of a link that speaks in lines.
+pub struct Lines(BufReader<TcpStream>);
+
+impl Lines {
+    fn new(stream: TcpStream) -> Lines {
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Lines(BufReader::new(stream))
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).unwrap();
+        line.strip_suffix("\r\n").unwrap_or_else(|| panic!("the link ended: {line:?}")).to_owned()
+    }
+
+    fn body(&mut self, length: usize) -> Vec<u8> {
+        let mut body = vec![0; length + 2];
+        self.0.read_exact(&mut body).unwrap();
+        assert_eq!(body.split_off(length), b"\r\n");
+        body
+    }
+
+    /// Says that all earlier notices were sent.
+    pub fn caught_up(&mut self) {
+        loop {
+            let line = self.line();
+            self.gauges(&line, "0.5 1 0.1 3");
+            if line == "STAT attached" {
+                return;
+            }
+        }
+    }
+
+    fn gauges(&mut self, line: &str, gauges: &str) -> bool {
+        let Some(tag) = line.strip_prefix("STAT ") else { return false };
+        self.send(&format!("STATS {tag} {gauges}\r\n"));
+        true
+    }
+
+    /// The next command of a run and its body; gauges are answered on the way.
+    pub fn command(&mut self) -> (String, Vec<u8>) {
+        self.command_at("0.5 1 0.1 3")
+    }
+
+    pub fn command_at(&mut self, gauges: &str) -> (String, Vec<u8>) {
+        loop {
+            let line = self.line();
+            if self.gauges(&line, gauges) {
+                continue;
+            }
+            let (head, length) = line.rsplit_once(' ').unwrap();
+            return match head.split(' ').next() {
+                Some("RUN" | "FEED" | "CALL") => {
+                    let body = self.body(length.parse().unwrap());
+                    (head.to_owned(), body)
+                }
+                _ => (line, Vec::new()),
+            };
+        }
+    }
+
+    /// Answers gauges until the program ends the link.
+    pub fn until_end(mut self) {
+        let mut line = String::new();
+        while self.0.read_line(&mut line).is_ok_and(|count| count > 0) {
+            let _ = line.strip_prefix("STAT ").map(|tag| write!(self.0.get_mut(), "STATS {tag} 0 0 0 0\r\n"));
+            line.clear();
+        }
+    }
+
+    pub fn expect_run(&mut self, id: &str, method: &str) -> Vec<u8> {
+        let (head, body) = self.command();
+        assert_eq!(head, format!("RUN {id} {method}"));
+        body
+    }
+
+    pub fn done(&mut self, number: u64, id: &str, end: &str, result: &str) {
+        self.send(&format!("DONE {number} {id} {end} 7 {}\r\n{result}\r\n", result.len()));
+    }
+
+    pub fn need(&mut self, number: u64, id: &str, body: &str) {
+        self.send(&format!("NEED {number} {id} {}\r\n{body}\r\n", body.len()));
+    }
+}
+
+/// The i-th id.
+pub fn id(index: u64) -> String {
+    format!("{:016x}", 0x9b1f_03aa_5c7e_0000 + index)
+}
+
+/// What a server says to a call.
+#[derive(Debug, PartialEq)]
+pub enum Said {
+    Answer { seq: i32, body: Vec<u8>, good: bool },
+    Overloaded { seq: i32, cooldown: Option<u64>, nowhere: bool },
+    Internal { seq: i32 },
+    Exception { seq: i32 },
+    Closing,
+}
+
+/// A gateway's connection.
+pub struct Gate {
+    pub stream: TcpStream,
+    seq: i32,
+    /// The free value that came last.
+    pub pressure: Option<f64>,
+}
+
+impl Gate {
+    fn new(stream: TcpStream) -> Gate {
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream.set_write_timeout(Some(LIMIT)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Gate { stream, seq: 0, pressure: None }
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// The next call of `name`, framed.
+    pub fn call(&mut self, name: &str, arguments: &[u8]) -> Vec<u8> {
+        self.seq += 1;
+        let mut bytes = b"\x80\x01\x00\x01".to_vec();
+        text(&mut bytes, name.as_bytes());
+        bytes.extend_from_slice(&self.seq.to_be_bytes());
+        bytes.extend_from_slice(arguments);
+        bytes.push(0);
+        [&(bytes.len() as u32).to_be_bytes()[..], &bytes].concat()
+    }
+
+    pub fn ping(&mut self) -> bool {
+        let bytes = self.call("ping", b"\x02\x00\x01\x00");
+        self.write(&bytes);
+        let seq = self.seq;
+        match self.said() {
+            Said::Answer { seq: of, body, good } if of == seq && body.is_empty() => good,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn framed(&mut self, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+        let mut arguments = b"\x0d\x00\x01\x0b\x0b".to_vec();
+        arguments.extend_from_slice(&(fields.len() as u32).to_be_bytes());
+        for (key, value) in fields {
+            text(&mut arguments, key.as_bytes());
+            text(&mut arguments, value.as_bytes());
+        }
+        arguments.extend_from_slice(b"\x0b\x00\x02");
+        text(&mut arguments, body);
+        self.call("invoke", &arguments)
+    }
+
+    /// Sends an RPC that has just come; its sequence number.
+    pub fn invoke(&mut self, method: &str, id: &str, body: &[u8], more: &[(&str, &str)]) -> i32 {
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis().to_string();
+        let fields = [
+            ("service", method),
+            ("ref", id),
+            ("since", &since),
+            ("sender", "4"),
+            ("project", "north"),
+            ("room", "24.5"),
+            ("class_rank", "0.6250"),
+        ];
+        let bytes = self.framed(&[&fields, more].concat(), body);
+        self.write(&bytes);
+        self.seq
+    }
+
+    pub fn said(&mut self) -> Said {
+        let mut prefix = [0; 4];
+        self.stream.read_exact(&mut prefix).unwrap();
+        let mut frame = vec![0; u32::from_be_bytes(prefix) as usize];
+        self.stream.read_exact(&mut frame).unwrap();
+        let mut rest = &frame[..];
+        let kind = take(&mut rest, 4)[3];
+        let name = bytes(&mut rest).to_vec();
+        let seq = i32::from_be_bytes(take(&mut rest, 4).try_into().unwrap());
+        if kind == 4 {
+            assert_eq!(name, b"closing");
+            return Said::Closing;
+        }
+        if kind == 3 {
+            return Said::Exception { seq };
+        }
+        assert_eq!((kind, take(&mut rest, 1)[0]), (2, 12), "{frame:?}");
+        let member = take(&mut rest, 2)[1];
+        let mut body = Vec::new();
+        if member == 0 {
+            assert_eq!(take(&mut rest, 3), b"\x0b\x00\x01");
+            body = bytes(&mut rest).to_vec();
+        }
+        assert_eq!(take(&mut rest, 3), [13, 0, if member == 0 { 2 } else { 1 }]);
+        assert_eq!(take(&mut rest, 2), b"\x0b\x0b");
+        let count = u32::from_be_bytes(take(&mut rest, 4).try_into().unwrap());
+        let (mut cooldown, mut nowhere) = (None, false);
+        for _ in 0..count {
+            let key = String::from_utf8(bytes(&mut rest).to_vec()).unwrap();
+            let value = String::from_utf8(bytes(&mut rest).to_vec()).unwrap();
+            match key.as_str() {
+                "pressure" => self.pressure = Some(value.parse().unwrap()),
+                "cooldown" => cooldown = Some(value.parse().unwrap()),
+                "nowhere" => nowhere = value == "1",
+                _ => panic!("field {key}"),
+            }
+        }
+        match member {
+            0 => {
+                assert_eq!(take(&mut rest, 3), b"\x02\x00\x03");
+                let good = take(&mut rest, 1)[0] == 1;
+                assert_eq!(rest, b"\0\0");
+                Said::Answer { seq, body, good }
+            }
+            1 => Said::Overloaded { seq, cooldown, nowhere },
+            2 => Said::Internal { seq },
+            _ => panic!("{frame:?}"),
+        }
+    }
+
+    /// Whether the server has ended the connection, with nothing more to read.
+    pub fn ended(&mut self) -> bool {
+        matches!(self.stream.read(&mut [0]), Ok(0))
+    }
+}
+
+fn text(out: &mut Vec<u8>, bytes: &[u8]) {
+    out.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
+    out.extend_from_slice(bytes);
+}
+
+fn take<'a>(rest: &mut &'a [u8], count: usize) -> &'a [u8] {
+    let (taken, left) = rest.split_at(count);
+    *rest = left;
+    taken
+}
+
+fn bytes<'a>(rest: &mut &'a [u8]) -> &'a [u8] {
+    let length = u32::from_be_bytes(take(rest, 4).try_into().unwrap());
+    take(rest, length as usize)
+}
