Reports to the control plane begin when the engine is up

The log shows the new process listening 20 ms after the kill and its engine up 8 s later (HELLO at 16.41 s); the process reported Ready all that time (control.rs, report). By the protocol a server is listed from its engine's start. Now: it reports once HELLO was read, and at once. The first integration test reads nothing at the control plane before HELLO, and a lease after it.

Also: pick waits for the verdict itself; an id that is here already is refused where its place is taken (engine.rs, open), so two in one read can't both get one; the engine's absence is logged once.

--- a/crates/coralstep-server/src/control.rs
+++ b/crates/coralstep-server/src/control.rs
@@ -12,10 +12,16 @@
 /// An entry lapses 3 s after its last report; two of them may get lost.
 const EVERY: Duration = Duration::from_secs(1);
 
-/// Reports until `leaving`: a list without this server spares callers the way.
+/// Reports from when the engine is up until `leaving`. Before that and after it nothing can be served here, and a list
+/// without this server spares callers the way.
 pub async fn report(name: &str, address: SocketAddr, facade: &Facade, leaving: &Cell<bool>) {
     let mut failed = false;
     while !leaving.get() {
+        let started = facade.sooner();
+        if !facade.started() {
+            started.await;
+            continue;
+        }
         let state = if facade.healthy() { "Ready" } else { "NotReady" };
         // Made anew each time: the plane may have been down, and refusals stick to a socket.
         let sent = send(address, &format!("lease {name} {state}"));
--- a/crates/coralstep-server/src/course.rs
+++ b/crates/coralstep-server/src/course.rs
@@ -5,8 +5,9 @@
 use futures_lite::FutureExt;
 
 use crate::engine::{Engine, Notice};
-use crate::facade::{Facade, News, RunEnd, Ticket, Verdict};
+use crate::facade::{Facade, News, Offer, RunEnd, Verdict};
 use crate::lines::Ref;
+use crate::note;
 use crate::store::{Call, Store};
 
 /// The final answer.
@@ -31,33 +32,28 @@
 }
 
 impl Course {
-    /// `reply` is called at most once, with the answer.
-    pub async fn run(
-        &self,
-        ticket: Ticket,
-        id: Ref,
-        method: usize,
-        body: Vec<u8>,
-        reply: impl FnOnce(Reply<'_>),
-    ) {
-        let run = self.engine.open(id);
+    /// `reply` is called at most once, with the answer; never for an id that is here already.
+    pub async fn run(&self, offer: Offer, id: Ref, body: Vec<u8>, reply: impl FnOnce(Reply<'_>)) {
+        let Some(run) = self.engine.open(id) else { return note!("{id} is here already") };
+        let method = offer.method;
+        let Some((ticket, first)) = self.facade.pick(offer).await else {
+            note!("the table of RPCs is full");
+            return reply(Reply::PushedBack { after_ms: 0, last: false });
+        };
         let repeatable = self.facade.repeatable(method);
         let (mut body, mut reply) = (Some(body), Some(reply));
+        // The first answer is the only one.
+        let mut answer = |what: Reply<'_>| {
+            if let Some(reply) = reply.take() {
+                reply(what);
+            }
+        };
         let mut call: Option<Call<'_>> = None;
         // What the run has asked the store; the same again, should the call be repeated.
         let mut request = Vec::new();
-        let mut news = News::Underway;
+        let mut event = Event::Verdict(first);
         loop {
-            let verdict = async { Event::Verdict(self.facade.report(&ticket, news).await) };
-            let notice = async { Event::Notice(run.next().await) };
-            let called = async {
-                match call.as_mut() {
-                    Some(call) => Event::Called(call.ended().await),
-                    None => std::future::pending().await,
-                }
-            };
-            let event = verdict.or(notice).or(called).await;
-            news = News::Underway;
+            let mut news = News::Underway;
             match event {
                 Event::Verdict(Verdict::Over) => break,
                 Event::Verdict(Verdict::Run) => {
@@ -69,14 +65,10 @@
                 }
                 Event::Verdict(Verdict::Halt) => run.halt(),
                 Event::Verdict(Verdict::PushBack { after_ms, last }) => {
-                    reply.take().map(|reply| reply(Reply::PushedBack { after_ms, last })).unwrap_or_default();
-                }
-                Event::Verdict(Verdict::Abort) => {
-                    reply.take().map(|reply| reply(Reply::Aborted)).unwrap_or_default();
-                }
-                Event::Verdict(Verdict::Replay(result)) => {
-                    reply.take().map(|reply| reply(Reply::Ok(&result))).unwrap_or_default();
+                    answer(Reply::PushedBack { after_ms, last })
                 }
+                Event::Verdict(Verdict::Abort) => answer(Reply::Aborted),
+                Event::Verdict(Verdict::Replay(result)) => answer(Reply::Ok(&result)),
                 Event::Notice(Notice::Need(asked)) => {
                     request = asked;
                     news = News::NeedsCall;
@@ -85,11 +77,10 @@
                     // Whatever the run waited for, nobody does any more.
                     call = None;
                     match &end {
-                        RunEnd::Ok(result) => reply.take().map(|reply| reply(Reply::Ok(result))),
-                        RunEnd::Error => reply.take().map(|reply| reply(Reply::Aborted)),
-                        RunEnd::Cancelled | RunEnd::Moot => None,
+                        RunEnd::Ok(result) => answer(Reply::Ok(result)),
+                        RunEnd::Error => answer(Reply::Aborted),
+                        RunEnd::Cancelled | RunEnd::Moot => {}
                     }
-                    .unwrap_or_default();
                     news = News::Ran(end);
                 }
                 Event::Called(ended) => {
@@ -100,6 +91,15 @@
                     news = News::Called { end: ended.end, took: ended.took };
                 }
             }
+            let verdict = async { Event::Verdict(self.facade.report(&ticket, news).await) };
+            let notice = async { Event::Notice(run.next().await) };
+            let called = async {
+                match call.as_mut() {
+                    Some(call) => Event::Called(call.ended().await),
+                    None => std::future::pending().await,
+                }
+            };
+            event = verdict.or(notice).or(called).await;
         }
     }
 }
--- a/crates/coralstep-server/src/engine.rs
+++ b/crates/coralstep-server/src/engine.rs
@@ -1,6 +1,7 @@
 //! The link to the engine that owns the cores: kept up, attached anew after a break, its notices handed to the runs.
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
+use std::collections::hash_map::{Entry, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -116,15 +117,15 @@
 }
 
 impl Engine {
-    pub fn knows(&self, id: Ref) -> bool {
-        self.runs.borrow().contains_key(&id)
-    }
-
-    pub fn open(&self, id: Ref) -> Handle<'_> {
-        let run = Run::default();
-        let ready = run.ready.clone();
-        self.runs.borrow_mut().insert(id, run);
-        Handle { engine: self, id, ready }
+    /// A place for an RPC; `None` where one of this id is here.
+    pub fn open(&self, id: Ref) -> Option<Handle<'_>> {
+        match self.runs.borrow_mut().entry(id) {
+            Entry::Occupied(_) => None,
+            Entry::Vacant(place) => {
+                let ready = place.insert(Run::default()).ready.clone();
+                Some(Handle { engine: self, id, ready })
+            }
+        }
     }
 
     /// Asks for the gauges, once at a time.
@@ -152,13 +153,19 @@
 
     /// Keeps a link for good.
     pub async fn keep(&self, address: SocketAddr, facade: &Facade) {
+        let mut failed = false;
         loop {
             match Async::<TcpStream>::connect(address).await {
                 Ok(stream) => {
                     let why = self.serve(stream, facade).await;
                     note!("engine link ended: {why}");
+                    failed = false;
+                }
+                Err(_) if failed => {}
+                Err(why) => {
+                    note!("engine at {address}: {why}; it is tried again and again");
+                    failed = true;
                 }
-                Err(why) => note!("engine at {address}: {why}"),
             }
             Timer::after(AGAIN).await;
         }
--- a/crates/coralstep-server/src/facade.rs
+++ b/crates/coralstep-server/src/facade.rs
@@ -319,13 +319,24 @@
         self.names.tenants.iter().position(|tenant| tenant == name)
     }
 
+    /// Whether the decisions are under way.
+    pub fn started(&self) -> bool {
+        self.inner.borrow().server.is_some()
+    }
+
     /// Whether a second run of `method` would do no harm.
     pub fn repeatable(&self, method: usize) -> bool {
         self.terms.methods[method].effect == coralstep::Effect::Idempotent
     }
 
-    /// Takes an RPC in; `None` where the table is full. Its verdicts follow from `report`.
-    pub fn pick(self: &Rc<Self>, offer: Offer) -> Option<Ticket> {
+    /// Takes an RPC in and waits for its verdict; `None` where the table is full.
+    pub async fn pick(self: &Rc<Self>, offer: Offer) -> Option<(Ticket, Verdict)> {
+        let ticket = self.arrive(offer)?;
+        let verdict = self.report(&ticket, News::Underway).await;
+        Some((ticket, verdict))
+    }
+
+    fn arrive(self: &Rc<Self>, offer: Offer) -> Option<Ticket> {
         self.start(None, Duration::ZERO);
         let (id, prior) = {
             let desk = &mut self.inner.borrow_mut().desk;
@@ -422,7 +433,7 @@
         clock::duration(self.inner.borrow().desk.next_tick)
     }
 
-    /// Ends when a tick is wanted sooner than was said.
+    /// Ends when the decisions start, and when a tick is wanted sooner than was said.
     pub fn sooner(&self) -> event_listener::EventListener {
         self.sooner.listen()
     }
--- a/crates/coralstep-server/src/gateway.rs
+++ b/crates/coralstep-server/src/gateway.rs
@@ -312,19 +312,11 @@
         offer.method = method;
         offer.age = clock::age(since.ok_or("no since")?);
         offer.room_kb = room.ok_or("no room")?;
-        if self.course.engine.knows(id) {
-            return Err("ref again");
-        }
         peer.open.set(peer.open.get() + 1);
         let open = Open { gateway: self.clone(), peer: peer.clone(), seq, answered: false };
-        let Some(ticket) = self.facade.pick(offer) else {
-            note!("the table of RPCs is full");
-            open.answer(Reply::PushedBack { after_ms: 0, last: false });
-            return Ok(());
-        };
         let (course, body) = (self.course.clone(), body.to_vec());
         let task = async move {
-            let run = course.run(ticket, id, method, body, |reply| open.answer(reply));
+            let run = course.run(offer, id, body, |reply| open.answer(reply));
             if AssertUnwindSafe(run).catch_unwind().await.is_err() {
                 note!("{id} ended by a panic");
             }
--- a/crates/coralstep-server/tests/serve.rs
+++ b/crates/coralstep-server/tests/serve.rs
@@ -16,6 +16,10 @@
     let mut gate = rig.gate();
     // A health check doesn't wait for the engine.
     assert!(gate.ping());
+    // Nor does the server want to be listed before it.
+    rig.control.set_nonblocking(true).unwrap();
+    assert!(rig.control.recv(&mut [0; 64]).is_err());
+    rig.control.set_nonblocking(false).unwrap();
     let mut engine = rig.engine(0, "old 3600000");
     let seq = gate.invoke("pay", &id(1), b"\0\r\n\xff", &[]);
     assert_eq!(engine.expect_run(&id(1), "pay"), b"\0\r\n\xff");
