--- a/crates/coralstep-server/src/facade.rs
+++ b/crates/coralstep-server/src/facade.rs
@@ -446,8 +446,10 @@
         });
     }
 
+    /// What health checks are told. Guards against callers sent to a server whose engine is still to come.
     pub fn healthy(&self) -> bool {
-        self.inner.borrow().desk.health
+        let inner = self.inner.borrow();
+        inner.server.is_some() && inner.desk.health
     }
 
     /// The free value, where one was set.
