--- a/crates/coralstep-server/src/course.rs
+++ b/crates/coralstep-server/src/course.rs
@@ -46,6 +46,7 @@
         let mut answer = |what: Reply<'_>| {
             if let Some(reply) = reply.take() {
                 reply(what);
+                run.answered();
             }
         };
         let mut call: Option<Call<'_>> = None;
--- a/crates/coralstep-server/src/engine.rs
+++ b/crates/coralstep-server/src/engine.rs
@@ -20,6 +20,8 @@
 const AGAIN: Duration = Duration::from_millis(100);
 /// The start of an engine is only known to a few milliseconds; one that moved by more is another engine.
 const SAME_START: Duration = Duration::from_millis(500);
+/// An answer has reached its gateway after so long, and the engine knows that the RPC is over.
+const KNOWN: Duration = Duration::from_secs(1);
 const READ: usize = 64 * 1024;
 
 #[derive(Debug)]
@@ -32,6 +34,8 @@
 /// The last command of a run, until a notice proves that it was read.
 struct Command {
     bytes: Vec<u8>,
+    /// Begins the run.
+    starts: bool,
     /// May be sent again though it may have been read.
     repeatable: bool,
     /// The link and the place in its outbox.
@@ -43,6 +47,8 @@
     notices: VecDeque<Notice>,
     command: Option<Command>,
     started: bool,
+    /// When its RPC was answered.
+    answered: Option<Instant>,
     ready: Rc<Event>,
 }
 
@@ -60,6 +66,8 @@
     links: Cell<u64>,
     /// The last notice read.
     last: Cell<u64>,
+    /// Nobody knows whether these run.
+    doubts: RefCell<Vec<Ref>>,
     readings: RefCell<Vec<Option<f64>>>,
     asked: Cell<bool>,
     began: Cell<Option<Instant>>,
@@ -92,6 +100,13 @@
         self.engine.command(self.id, bytes, false, false);
     }
 
+    /// The RPC has its answer.
+    pub fn answered(&self) {
+        if let Some(run) = self.engine.runs.borrow_mut().get_mut(&self.id) {
+            run.answered = Some(Instant::now());
+        }
+    }
+
     /// Lost with a broken link: the run then goes on to its end for nobody.
     pub fn halt(&self) {
         if let Some(link) = self.engine.link.borrow().as_ref().filter(|link| link.ready) {
@@ -130,12 +145,32 @@
 
     /// Asks for the gauges, once at a time.
     pub fn ask(&self) {
-        if let Some(link) = self.link.borrow().as_ref().filter(|link| link.ready && !self.asked.get()) {
-            link.out.put(|out| lines::put(out, format_args!("STAT gauges"), None));
-            self.asked.set(true);
+        if let Some(link) = self.link.borrow().as_ref().filter(|link| link.ready) {
+            if !self.asked.replace(true) {
+                link.out.put(|out| lines::put(out, format_args!("STAT gauges"), None));
+            }
+            self.settle_doubts(link);
         }
     }
 
+    /// Guards against a run that never began but counts as one for good: once its RPC is over nothing can begin any
+    /// more, so the same command draws its end.
+    fn settle_doubts(&self, link: &Link) {
+        self.doubts.borrow_mut().retain(|id| {
+            let mut runs = self.runs.borrow_mut();
+            let Some((run, command)) =
+                runs.get_mut(id).and_then(|run| Some((run.answered, run.command.as_mut()?)))
+            else {
+                return false;
+            };
+            let known = run.is_some_and(|answered| answered.elapsed() >= KNOWN);
+            if known {
+                command.sent = Some((link.number, link.out.put(|out| out.extend_from_slice(&command.bytes))));
+            }
+            !known
+        });
+    }
+
     /// The last gauges read; none while there is no link.
     pub fn readings(&self) -> Vec<Option<f64>> {
         self.readings.borrow().clone()
@@ -148,7 +183,7 @@
         let link = self.link.borrow();
         let link = link.as_ref().filter(|link| link.ready);
         let sent = link.map(|link| (link.number, link.out.put(|out| out.extend_from_slice(&bytes))));
-        run.command = Some(Command { bytes, repeatable, sent });
+        run.command = Some(Command { bytes, starts, repeatable, sent });
     }
 
     /// Keeps a link for good.
@@ -266,7 +301,9 @@
             // All that ran has ended with the engine that ran it.
             note!("it is another engine");
             self.last.set(0);
-            for run in self.runs.borrow_mut().values_mut().filter(|run| run.started) {
+            let unsent = |command: &Command| command.starts && command.sent.is_none();
+            let ran = |run: &&mut Run| run.started && !run.command.as_ref().is_some_and(unsent);
+            for run in self.runs.borrow_mut().values_mut().filter(ran) {
                 run.command = None;
                 run.notices.push_back(Notice::Done(RunEnd::Cancelled));
                 run.ready.notify(1);
@@ -289,6 +326,9 @@
                 command.sent = Some((link.number, link.out.put(|out| out.extend_from_slice(&command.bytes))));
             } else {
                 note!("engine: in doubt whether {id} runs");
+                if command.starts && !self.doubts.borrow().contains(id) {
+                    self.doubts.borrow_mut().push(*id);
+                }
             }
         }
     }
