SIGTERM is waited for before anybody can connect

Seen: the drain test without an engine failed on one core, each time, with a reset in 0.1 s. Checked: the log ends after 'listens on', no 'leaving'; ruled out the answer's timer (nothing like 2 s passed) and the backlog (the process had ended by the signal). Cause: lib.rs bound the listener first and drain.rs registered SIGTERM only when first polled, so a notice in between killed the process with requests in its backlog. Signals are registered first now.

--- a/crates/coralstep-server/src/drain.rs
+++ b/crates/coralstep-server/src/drain.rs
@@ -17,14 +17,20 @@
 /// So long before the stop the process ends, whoever is still connected.
 const END: Duration = Duration::from_millis(120);
 
+/// From here on the notice is waited for. To be called before anybody can connect: guards against a notice that ends
+/// the process while requests lie in the backlog.
+pub fn signals() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int])
+}
+
 /// Ends when the process should.
 pub async fn wait(
+    mut signals: Signals,
     facade: &Facade,
     gateway: &Gateway,
     stop: Duration,
     leaving: &Cell<bool>,
-) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+) {
     signals.next().await;
     let stop_at = Instant::now() + stop;
     note!("leaving within {} ms", stop.as_millis());
@@ -37,5 +43,4 @@
     };
     gateway.empty().or(end).await;
     note!("left after {} RPCs", facade.picked());
-    Ok(())
 }
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -41,6 +41,7 @@
 /// Serves until told to leave.
 pub fn serve(config: Config) -> io::Result<()> {
     let Config { name, listen, engine: engine_at, store: store_at, control: control_at, .. } = config;
+    let signals = drain::signals()?;
     let listener = TcpListener::bind(listen)
         .and_then(Async::new)
         .map_err(|why| io::Error::new(why.kind(), format!("listen: {listen}: {why}")))?;
@@ -62,14 +63,15 @@
         ];
         all(parts).await
     };
-    let leave = drain::wait(&facade, &gateway, config.stop, &leaving);
-    block_on(executor.run(leave.or(forever)))
+    let leave = drain::wait(signals, &facade, &gateway, config.stop, &leaving);
+    block_on(executor.run(leave.or(forever)));
+    Ok(())
 }
 
 type Part<'a> = Pin<Box<dyn Future<Output = ()> + 'a>>;
 
 /// Runs all; never ends, as some of them don't.
-async fn all(mut parts: Vec<Part<'_>>) -> io::Result<()> {
+async fn all(mut parts: Vec<Part<'_>>) {
     poll_fn(|cx| {
         parts.retain_mut(|part| part.as_mut().poll(cx).is_pending());
         Poll::Pending
