--- a/crates/coralstep-server/src/facade.rs
+++ b/crates/coralstep-server/src/facade.rs
@@ -140,7 +140,8 @@
     /// Keeps the result of a tokened RPC for its repeats, while there is room.
     fn ended(&mut self, id: RpcId, end: &RunEnd) {
         let (kept, most) = (self.kept, self.most_kept);
-        let Some(entry) = self.entry(id).filter(|entry| entry.token.is_some()) else { return };
+        let first = |entry: &&mut Entry| entry.token.is_some() && entry.result.is_none();
+        let Some(entry) = self.entry(id).filter(first) else { return };
         let result = match end {
             RunEnd::Ok(result) if kept + result.len() <= most => Some(result.clone()),
             _ => None,
--- a/crates/coralstep-server/src/gateway.rs
+++ b/crates/coralstep-server/src/gateway.rs
@@ -26,6 +26,8 @@
 /// The longest body, and the most that one RPC may be said to book, by the protocol.
 const BODY_MOST: usize = 2 * 1024;
 const ROOM_MOST: f64 = 2_000.0;
+/// The longest token: kept for as long as the window, so it is bounded more closely than a frame.
+const TOKEN_MOST: usize = 256;
 /// Pause after a connection could not be accepted: descriptors come free as connections close.
 const FULL: Duration = Duration::from_millis(100);
 /// Between two looks at idle connections; the shortest limit is longer.
@@ -304,6 +306,7 @@
                     let kb = value.parse().ok().filter(|kb: &f64| *kb > 0.0 && *kb < ROOM_MOST);
                     room = Some(kb.ok_or("malformed room")?);
                 }
+                "replay" if value.len() > TOKEN_MOST => return Err("token too long"),
                 "replay" => offer.token = Some(value.as_bytes().into()),
                 _ => {}
             }
--- a/crates/coralstep-server/src/lines.rs
+++ b/crates/coralstep-server/src/lines.rs
@@ -4,7 +4,7 @@
 
 /// The longest line and the longest body that are read.
 pub const LINE_MOST: usize = 1024;
-pub const BODY_MOST: usize = 16 * 1024;
+pub const BODY_MOST: usize = 8 * 1024;
 
 /// These bytes are no message; what follows them can't be told apart.
 #[derive(Debug, PartialEq, Eq)]
--- a/crates/coralstep-server/tests/serve.rs
+++ b/crates/coralstep-server/tests/serve.rs
@@ -325,6 +325,8 @@
         let fields = [&good[..at], &good[at + 1..]].concat();
         calls.push(gate.framed(&fields, b""));
     }
+    let token = "t".repeat(257);
+    calls.push(gate.framed(&[&good[..], &[("replay", &token)]].concat(), b""));
     let count = calls.len() as i32;
     // Every split of the bytes is met on the way.
     for byte in calls.concat() {
