Panics stop at a tick, a link or an RPC; the facade tested without sockets

A panic in a detached task or in the main future would have ended the process (async-executor hands it on to whoever runs the task), and with it every RPC: ticks and both links are now caught as connections and RPCs were.

--- a/crates/coralstep-server/src/engine.rs
+++ b/crates/coralstep-server/src/engine.rs
@@ -4,6 +4,7 @@
 use std::collections::hash_map::{Entry, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -192,8 +193,11 @@
         loop {
             match Async::<TcpStream>::connect(address).await {
                 Ok(stream) => {
-                    let why = self.serve(stream, facade).await;
-                    note!("engine link ended: {why}");
+                    match AssertUnwindSafe(self.serve(stream, facade)).catch_unwind().await {
+                        Ok(why) => note!("engine link ended: {why}"),
+                        Err(_) => note!("engine link ended by a panic"),
+                    }
+                    self.unlink();
                     failed = false;
                 }
                 Err(_) if failed => {}
@@ -215,17 +219,20 @@
         *self.link.borrow_mut() = Some(Link { number, out: out.clone(), ready: false });
         let write = async { out.run(&stream).await.err().unwrap_or(io::ErrorKind::UnexpectedEof.into()) };
         let why = write.or(self.read(&stream, facade)).await;
-        // What never left is known to be unread; the rest is in doubt until the notices are replayed.
+        // What never left is known to be unread, the rest is in doubt until the notices are replayed.
         for run in self.runs.borrow_mut().values_mut() {
             let left = |place: &(u64, u64)| place.0 != number || out.sent(place.1);
             if let Some(command) = run.command.as_mut() {
                 command.sent = command.sent.filter(left);
             }
         }
+        why
+    }
+
+    fn unlink(&self) {
         *self.link.borrow_mut() = None;
         self.asked.set(false);
         self.readings.borrow_mut().clear();
-        why
     }
 
     async fn read(&self, mut stream: &Async<TcpStream>, facade: &Facade) -> io::Error {
--- a/crates/coralstep-server/src/facade.rs
+++ b/crates/coralstep-server/src/facade.rs
@@ -466,3 +466,74 @@
         self.picked.get()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use async_io::block_on;
+    use coralstep::{Effect, Method};
+    use futures_lite::future::{or, ready};
+
+    use super::*;
+
+    fn facade(limits: Limits) -> Rc<Facade> {
+        let target = Span::ms(60_000);
+        let method = Method { effect: Effect::Tokened, target, deadline: target, ..Method::default() };
+        let terms = Terms { methods: vec![method], cores: 8, key_kb: 1.0, ..Terms::default() };
+        let terms = Terms { memory_kb: 1e6, ..terms };
+        let facade = Rc::new(Facade::new(terms, Names::default(), 1, &limits));
+        facade.start(Some(false), Duration::ZERO);
+        facade
+    }
+
+    fn limits() -> Limits {
+        Limits { connections: 1, rpcs: 2, results: 8 }
+    }
+
+    fn offer(token: &[u8]) -> Offer {
+        Offer { room_kb: 1.0, token: Some(token.into()), ..Offer::default() }
+    }
+
+    fn end(facade: &Facade, ticket: &Ticket, end: RunEnd) -> Verdict {
+        // The token is kept: nothing is said until its window is over, and nothing is waited for here.
+        block_on(or(facade.report(ticket, News::Ran(end)), ready(Verdict::Over)))
+    }
+
+    #[test]
+    fn a_verdict_follows_each_report() {
+        let facade = facade(limits());
+        let (ticket, verdict) = block_on(facade.pick(offer(b"a"))).unwrap();
+        assert_eq!(verdict, Verdict::Run);
+        let verdict = block_on(facade.report(&ticket, News::NeedsCall));
+        assert!(matches!(verdict, Verdict::Call { patience } if !patience.is_zero()), "{verdict:?}");
+        let called = News::Called { end: CallEnd::Error, took: Duration::from_millis(5) };
+        assert_eq!(block_on(facade.report(&ticket, called)), Verdict::Abort);
+    }
+
+    #[test]
+    fn a_full_table_takes_nothing_and_dropped_tickets_make_room_once_they_are_over() {
+        let facade = facade(limits());
+        let (first, _) = block_on(facade.pick(offer(b"a"))).unwrap();
+        let (second, _) = block_on(facade.pick(offer(b"b"))).unwrap();
+        assert!(block_on(facade.pick(offer(b"c"))).is_none());
+        let id = first.id;
+        drop((first, second));
+        assert!(block_on(facade.pick(offer(b"c"))).is_none());
+        facade.inner.borrow_mut().desk.release(id);
+        assert!(block_on(facade.pick(offer(b"c"))).is_some());
+    }
+
+    #[test]
+    fn results_are_kept_for_repeats_while_there_is_room() {
+        for (result, verdict) in
+            [(&b"12345678"[..], Verdict::Replay(b"12345678"[..].into())), (&[0; 9], Verdict::Abort)]
+        {
+            let facade = facade(limits());
+            let (first, _) = block_on(facade.pick(offer(b"a"))).unwrap();
+            end(&facade, &first, RunEnd::Ok(result.into()));
+            // A second end changes nothing.
+            end(&facade, &first, RunEnd::Cancelled);
+            let (_second, repeat) = block_on(facade.pick(offer(b"a"))).unwrap();
+            assert_eq!(repeat, verdict);
+        }
+    }
+}
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -5,6 +5,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::net::TcpListener;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -90,8 +91,14 @@
         };
         timer.or(sooner).await;
         if !next.is_zero() {
-            engine.ask();
-            facade.tick(&engine.readings());
+            // Guards against a fault of one moment that ends the process, and with it all RPCs.
+            let tick = AssertUnwindSafe(|| {
+                engine.ask();
+                facade.tick(&engine.readings());
+            });
+            if catch_unwind(tick).is_err() {
+                note!("a tick ended by a panic");
+            }
         }
     }
 }
--- a/crates/coralstep-server/src/store.rs
+++ b/crates/coralstep-server/src/store.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -138,7 +139,12 @@
                 let (number, out) = (link.number, link.out.clone());
                 *self.link.borrow_mut() = Some(link);
                 let store = self.clone();
-                self.executor.spawn(async move { store.serve(stream, number, out).await }).detach();
+                let serve = async move {
+                    let read = AssertUnwindSafe(store.serve(&stream, number, &out)).catch_unwind().await;
+                    let why = read.unwrap_or_else(|_| io::Error::other("ended by a panic"));
+                    store.ended(number, &why);
+                };
+                self.executor.spawn(serve).detach();
             }
         }
         let link = self.link.borrow();
@@ -190,13 +196,16 @@
         self.link.borrow_mut().take_if(|link| Some(link.number) == number);
     }
 
-    async fn serve(&self, stream: Async<TcpStream>, number: u64, out: Rc<Outbox>) {
-        let write = async { out.run(&stream).await.err().unwrap_or(io::ErrorKind::UnexpectedEof.into()) };
-        let why = write.or(self.read(&stream, number)).await;
+    async fn serve(&self, stream: &Async<TcpStream>, number: u64, out: &Outbox) -> io::Error {
+        let write = async { out.run(stream).await.err().unwrap_or(io::ErrorKind::UnexpectedEof.into()) };
+        write.or(self.read(stream, number)).await
+    }
+
+    fn ended(&self, number: u64, why: &io::Error) {
         self.link.borrow_mut().take_if(|link| link.number == number);
         let mut broken = 0;
         for slot in self.calls.borrow_mut().values_mut().filter(|slot| slot.link == number) {
-            let end = if out.sent(slot.place) { CallEnd::Broken } else { CallEnd::Unreachable };
+            let end = if slot.out.sent(slot.place) { CallEnd::Broken } else { CallEnd::Unreachable };
             slot.ended.get_or_insert((end, None));
             slot.ready.notify(1);
             broken += 1;
