A run that the engine won't begin ends at once; outbox and cut-short frames tested

Found on reading the protocol again: after NO RUN there is no run and so no DONE, and the module would have counted one as running for good (engine.rs, message).

--- a/crates/coralstep-server/src/engine.rs
+++ b/crates/coralstep-server/src/engine.rs
@@ -15,7 +15,7 @@
 use crate::facade::{Facade, RunEnd};
 use crate::lines::{self, Ref};
 use crate::note;
-use crate::outbox::Outbox;
+use crate::outbox::{Outbox, STUCK};
 
 /// Between two attempts to connect.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -217,7 +217,8 @@
         self.links.set(number);
         out.put(|out| lines::put(out, format_args!("ATTACH {}", self.last.get()), None));
         *self.link.borrow_mut() = Some(Link { number, out: out.clone(), ready: false });
-        let write = async { out.run(&stream).await.err().unwrap_or(io::ErrorKind::UnexpectedEof.into()) };
+        let write =
+            async { out.run(&stream, STUCK).await.err().unwrap_or(io::ErrorKind::UnexpectedEof.into()) };
         let why = write.or(self.read(&stream, facade)).await;
         // What never left is known to be unread, the rest is in doubt until the notices are replayed.
         for run in self.runs.borrow_mut().values_mut() {
@@ -280,7 +281,13 @@
             ["NOTE", number, ..] => {
                 self.fresh(number);
             }
-            ["NO", command, id] => note!("engine: no {command} for {id}"),
+            ["NO", command, id] => {
+                note!("engine: no {command} for {id}");
+                if command == "RUN" {
+                    // Guards against a run that is never to begin and counts as one for good.
+                    self.notice(id, Notice::Done(RunEnd::Moot));
+                }
+            }
             ["DONE" | "NEED", ..] => note!("engine: a notice again, or malformed: {}", words.join(" ")),
             _ => note!("engine: unknown message {}", words.join(" ")),
         }
--- a/crates/coralstep-server/src/gateway.rs
+++ b/crates/coralstep-server/src/gateway.rs
@@ -18,7 +18,7 @@
 use crate::facade::{Facade, Offer};
 use crate::lines::Ref;
 use crate::note;
-use crate::outbox::Outbox;
+use crate::outbox::{Outbox, STUCK};
 use crate::thrift::{self, Fault, Message};
 
 /// Open requests on one connection, by the protocol.
@@ -210,7 +210,7 @@
             std::future::pending().await
         };
         let write = async {
-            let _ = peer.out.run(stream).await;
+            let _ = peer.out.run(stream, STUCK).await;
         };
         write.or(read).await;
     }
--- a/crates/coralstep-server/src/store.rs
+++ b/crates/coralstep-server/src/store.rs
@@ -16,7 +16,7 @@
 use crate::facade::CallEnd;
 use crate::lines::{self, Ref};
 use crate::note;
-use crate::outbox::Outbox;
+use crate::outbox::{Outbox, STUCK};
 
 /// The store closes what is idle for 10 s; a call that crosses such a close would be in doubt.
 const IDLE: Duration = Duration::from_secs(8);
@@ -197,7 +197,8 @@
     }
 
     async fn serve(&self, stream: &Async<TcpStream>, number: u64, out: &Outbox) -> io::Error {
-        let write = async { out.run(stream).await.err().unwrap_or(io::ErrorKind::UnexpectedEof.into()) };
+        let write =
+            async { out.run(stream, STUCK).await.err().unwrap_or(io::ErrorKind::UnexpectedEof.into()) };
         write.or(self.read(stream, number)).await
     }
 
--- a/crates/coralstep-server/tests/serve.rs
+++ b/crates/coralstep-server/tests/serve.rs
@@ -365,6 +365,34 @@
     }
 }
 
+#[test]
+fn a_frame_cut_short_ends_its_connection_after_its_open_answers() {
+    let (rig, mut engine) = Rig::ready();
+    let mut gate = rig.gate();
+    let seq = gate.invoke("pay", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "pay");
+    let frame = gate.call("ping", b"\x02\x00\x01\x00");
+    gate.write(&frame[..frame.len() - 1]);
+    gate.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    rig.logged("cut short");
+    engine.done(1, &id(1), "good", "still");
+    assert_eq!(gate.said(), ok(seq, "still"));
+    assert!(gate.ended());
+}
+
+#[test]
+fn a_run_that_the_engine_will_not_begin_ends_at_once() {
+    let (rig, mut engine) = Rig::ready();
+    let mut gate = rig.gate();
+    // More of them than could run at once.
+    for index in 1..=6 {
+        let seq = gate.invoke("book", &id(index), b"", &[]);
+        engine.expect_run(&id(index), "book");
+        engine.send(&format!("NO RUN {}\r\n", id(index)));
+        assert_eq!(gate.said(), Said::Internal { seq });
+    }
+}
+
 #[test]
 fn a_connection_carries_32_open_requests_and_no_more() {
     let (rig, engine) = Rig::ready();
