SIGHUP moves the links; silent connections lock nobody out; a connection a call

Checked: 129 is SIGHUP, which had no handler (lib.rs `serve`). CPU ruled out: 0.08 of a second in the busiest one.

Changed: - reload.rs: the file is read and checked whole, then engine, store and control move.

--- a/crates/coralstep-server/src/control.rs
+++ b/crates/coralstep-server/src/control.rs
@@ -1,4 +1,4 @@
-//! The control plane's list: a report every second, as long as this server is to stay on it.
+//! The control plane's list: a report every while, as long as this server is to stay on it.
 use std::cell::Cell;
 use std::io;
 use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
@@ -8,13 +8,15 @@
 
 use crate::facade::Facade;
 use crate::note;
+use crate::reload::Place;
 
-/// An entry lapses 3 s after its last report; two of them may get lost.
-const EVERY: Duration = Duration::from_secs(1);
+/// An entry lapses 3 s after its last report. Guards against reports that get lost: of ten in that time, one that comes
+/// is enough.
+const EVERY: Duration = Duration::from_millis(300);
 
 /// Reports from when the engine is up until `leaving`. Before that and after it nothing can be served here, and a list
 /// without this server spares callers the way.
-pub async fn report(name: &str, address: SocketAddr, facade: &Facade, leaving: &Cell<bool>) {
+pub async fn report(name: &str, place: &Place<SocketAddr>, facade: &Facade, leaving: &Cell<bool>) {
     let mut failed = false;
     while !leaving.get() {
         let started = facade.sooner();
@@ -23,6 +25,7 @@
             continue;
         }
         let state = if facade.healthy() { "Ready" } else { "NotReady" };
+        let address = place.get();
         // Made anew each time: the plane may have been down, and refusals stick to a socket.
         let sent = send(address, &format!("lease {name} {state}"));
         if let Err(why) = &sent
--- a/crates/coralstep-server/src/course.rs
+++ b/crates/coralstep-server/src/course.rs
@@ -8,7 +8,7 @@
 use crate::facade::{Facade, News, Offer, RunEnd, Verdict};
 use crate::lines::Ref;
 use crate::note;
-use crate::store::{Call, Store};
+use crate::store::{self, Call, Store};
 
 /// The final answer.
 #[derive(Debug, PartialEq)]
@@ -21,19 +21,34 @@
 pub struct Course {
     pub facade: Rc<Facade>,
     pub engine: Rc<Engine>,
-    pub store: Rc<Store>,
+    pub store: Store,
 }
 
 /// What the RPC's task waits for.
 enum Event {
     Verdict(Verdict),
     Notice(Notice),
-    Called(crate::store::Ended),
+    Called(store::Ended),
+    /// Nobody waits for it any more.
+    Gone,
 }
 
 impl Course {
-    /// `reply` is called at most once, with the answer; never for an id that is here already.
-    pub async fn run(&self, offer: Offer, id: Ref, body: Vec<u8>, reply: impl FnOnce(Reply<'_>)) {
+    /// Whether no RPC of this id is here.
+    pub fn free(&self, id: Ref) -> bool {
+        !self.engine.knows(id)
+    }
+
+    /// `reply` is called at most once, with the answer; never for an id that is here already. `gone` ends when its
+    /// caller has gone.
+    pub async fn run(
+        &self,
+        offer: Offer,
+        id: Ref,
+        body: Vec<u8>,
+        gone: impl Future<Output = ()>,
+        reply: impl FnOnce(Reply<'_>),
+    ) {
         let Some(run) = self.engine.open(id) else { return note!("{id} is here already") };
         let method = offer.method;
         let Some((ticket, first)) = self.facade.pick(offer).await else {
@@ -49,7 +64,8 @@
                 run.answered();
             }
         };
-        let mut call: Option<Call<'_>> = None;
+        let mut call: Option<Call> = None;
+        let mut gone = Some(std::pin::pin!(gone));
         // What the run has asked the store; the same again, should the call be repeated.
         let mut request = Vec::new();
         let mut event = Event::Verdict(first);
@@ -62,7 +78,7 @@
                     run.start(self.facade.method_name(method), &body, repeatable);
                 }
                 Event::Verdict(Verdict::Call { patience }) => {
-                    call = Some(self.store.call(id, patience, request.clone()));
+                    call = Some(self.store.call(id, patience, &request));
                 }
                 Event::Verdict(Verdict::Halt) => run.halt(),
                 Event::Verdict(Verdict::PushBack { after_ms, last }) => {
@@ -91,16 +107,23 @@
                     }
                     news = News::Called { end: ended.end, took: ended.took };
                 }
+                Event::Gone => {
+                    gone = None;
+                    answer(Reply::Aborted);
+                    news = News::Gone;
+                }
             }
             let verdict = async { Event::Verdict(self.facade.report(&ticket, news).await) };
             let notice = async { Event::Notice(run.next().await) };
-            let called = async {
-                match call.as_mut() {
-                    Some(call) => Event::Called(call.ended().await),
+            let called = async { Event::Called(store::ended(&mut call).await) };
+            let left = async {
+                match gone.as_mut() {
+                    Some(gone) => gone.as_mut().await,
                     None => std::future::pending().await,
                 }
+                Event::Gone
             };
-            event = verdict.or(notice).or(called).await;
+            event = verdict.or(notice).or(called).or(left).await;
         }
     }
 }
--- a/crates/coralstep-server/src/engine.rs
+++ b/crates/coralstep-server/src/engine.rs
@@ -16,9 +16,13 @@
 use crate::lines::{self, Ref};
 use crate::note;
 use crate::outbox::{Outbox, STUCK};
+use crate::reload::Place;
 
-/// Between two attempts to connect.
-const AGAIN: Duration = Duration::from_millis(100);
+/// Between two attempts to connect. What runs meanwhile can't be told anything.
+const AGAIN: Duration = Duration::from_millis(20);
+/// The longest wait for a connection, and for an old link's word that it has read all, before another replaces it.
+const CONNECT: Duration = Duration::from_millis(500);
+const SETTLE: Duration = Duration::from_millis(300);
 /// The start of an engine is only known to a few milliseconds; one that moved by more is another engine.
 const SAME_START: Duration = Duration::from_millis(500);
 /// An answer has reached its gateway after so long, and the engine knows that the RPC is over.
@@ -41,6 +45,8 @@
     repeatable: bool,
     /// The link and the place in its outbox.
     sent: Option<(u64, u64)>,
+    /// The engine is known to have read it.
+    read: bool,
 }
 
 #[derive(Default)]
@@ -50,6 +56,7 @@
     started: bool,
     /// When its RPC was answered.
     answered: Option<Instant>,
+    halted: bool,
     ready: Rc<Event>,
 }
 
@@ -58,6 +65,10 @@
     out: Rc<Outbox>,
     /// All older notices were read; commands may be sent.
     ready: bool,
+    /// The place of the question for gauges that is open.
+    asked: Option<u64>,
+    /// What was sent before this place has been read: a later question was answered.
+    read: u64,
 }
 
 #[derive(Default)]
@@ -70,7 +81,8 @@
     /// Nobody knows whether these run.
     doubts: RefCell<Vec<Ref>>,
     readings: RefCell<Vec<Option<f64>>>,
-    asked: Cell<bool>,
+    /// The old link has read all that was sent on it.
+    settled: Event,
     began: Cell<Option<Instant>>,
 }
 
@@ -108,8 +120,11 @@
         }
     }
 
-    /// Lost with a broken link: the run then goes on to its end for nobody.
+    /// Sent again on a new link, as long as the run has not ended.
     pub fn halt(&self) {
+        if let Some(run) = self.engine.runs.borrow_mut().get_mut(&self.id) {
+            run.halted = true;
+        }
         if let Some(link) = self.engine.link.borrow().as_ref().filter(|link| link.ready) {
             link.out.put(|out| lines::put(out, format_args!("HALT {}", self.id), None));
         }
@@ -128,11 +143,23 @@
     }
 }
 
+async fn connect(address: SocketAddr) -> io::Result<Async<TcpStream>> {
+    let patience = async {
+        Timer::after(CONNECT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    Async::<TcpStream>::connect(address).or(patience).await
+}
+
 fn has_body(words: &[&str]) -> bool {
     matches!(words[0], "DONE" | "NEED")
 }
 
 impl Engine {
+    pub fn knows(&self, id: Ref) -> bool {
+        self.runs.borrow().contains_key(&id)
+    }
+
     /// A place for an RPC; `None` where one of this id is here.
     pub fn open(&self, id: Ref) -> Option<Handle<'_>> {
         match self.runs.borrow_mut().entry(id) {
@@ -144,11 +171,11 @@
         }
     }
 
-    /// Asks for the gauges, once at a time.
+    /// Asks for the gauges, once at a time. The answer also proves that all commands before it were read.
     pub fn ask(&self) {
-        if let Some(link) = self.link.borrow().as_ref().filter(|link| link.ready) {
-            if !self.asked.replace(true) {
-                link.out.put(|out| lines::put(out, format_args!("STAT gauges"), None));
+        if let Some(link) = self.link.borrow_mut().as_mut().filter(|link| link.ready) {
+            if link.asked.is_none() {
+                link.asked = Some(link.out.put(|out| lines::put(out, format_args!("STAT gauges"), None)));
             }
             self.settle_doubts(link);
         }
@@ -184,56 +211,114 @@
         let link = self.link.borrow();
         let link = link.as_ref().filter(|link| link.ready);
         let sent = link.map(|link| (link.number, link.out.put(|out| out.extend_from_slice(&bytes))));
-        run.command = Some(Command { bytes, starts, repeatable, sent });
+        run.command = Some(Command { bytes, starts, repeatable, sent, read: false });
     }
 
-    /// Keeps a link for good.
-    pub async fn keep(&self, address: SocketAddr, facade: &Facade) {
+    /// Keeps a link for good, to wherever the engine is.
+    pub async fn keep(&self, place: &Place<SocketAddr>, facade: &Facade) {
         let mut failed = false;
+        let mut next = None;
         loop {
-            match Async::<TcpStream>::connect(address).await {
+            let (address, opened) = match next.take() {
+                Some((address, stream)) => (address, Ok(stream)),
+                None => (place.get(), connect(place.get()).await),
+            };
+            match opened {
                 Ok(stream) => {
-                    match AssertUnwindSafe(self.serve(stream, facade)).catch_unwind().await {
-                        Ok(why) => note!("engine link ended: {why}"),
+                    let began = Instant::now();
+                    let end = AssertUnwindSafe(self.serve(stream, place, address, facade)).catch_unwind();
+                    match end.await {
+                        Ok(Ok((address, stream))) => {
+                            note!("engine link moves to {address}");
+                            next = Some((address, stream));
+                        }
+                        Ok(Err(why)) => note!("engine link ended: {why}"),
                         Err(_) => note!("engine link ended by a panic"),
                     }
                     self.unlink();
                     failed = false;
+                    if began.elapsed() < AGAIN {
+                        Timer::after(AGAIN).await;
+                    }
                 }
-                Err(_) if failed => {}
                 Err(why) => {
-                    note!("engine at {address}: {why}; it is tried again and again");
-                    failed = true;
+                    if !std::mem::replace(&mut failed, true) {
+                        note!("engine at {address}: {why}; it is tried again and again");
+                    }
+                    Timer::after(AGAIN).await;
                 }
             }
-            Timer::after(AGAIN).await;
         }
     }
 
-    async fn serve(&self, stream: Async<TcpStream>, facade: &Facade) -> io::Error {
+    /// Ends when the engine has moved, with a connection to where it is now, after all that was sent on the old link
+    /// was read there: guards against commands that are lost with it.
+    async fn successor(&self, place: &Place<SocketAddr>, from: SocketAddr) -> (SocketAddr, Async<TcpStream>) {
+        loop {
+            let moved = place.moved();
+            let to = place.get();
+            if to == from {
+                moved.await;
+                continue;
+            }
+            match connect(to).await {
+                Ok(stream) => {
+                    self.settle().await;
+                    return (to, stream);
+                }
+                Err(why) => {
+                    note!("engine at {to}: {why}; the old link is kept");
+                    Timer::after(AGAIN).await;
+                }
+            }
+        }
+    }
+
+    async fn settle(&self) {
+        let settled = self.settled.listen();
+        if let Some(link) = self.link.borrow_mut().as_mut().filter(|link| link.ready) {
+            link.ready = false;
+            link.out.put(|out| lines::put(out, format_args!("STAT settled"), None));
+        } else {
+            return;
+        }
+        let patience = async {
+            Timer::after(SETTLE).await;
+        };
+        settled.or(patience).await;
+    }
+
+    async fn serve(
+        &self,
+        stream: Async<TcpStream>,
+        place: &Place<SocketAddr>,
+        address: SocketAddr,
+        facade: &Facade,
+    ) -> io::Result<(SocketAddr, Async<TcpStream>)> {
         let _ = stream.get_ref().set_nodelay(true);
         let out = Rc::new(Outbox::default());
         let number = self.links.get() + 1;
         self.links.set(number);
         out.put(|out| lines::put(out, format_args!("ATTACH {}", self.last.get()), None));
-        *self.link.borrow_mut() = Some(Link { number, out: out.clone(), ready: false });
+        *self.link.borrow_mut() = Some(Link { number, out: out.clone(), ready: false, asked: None, read: 0 });
         let write =
-            async { out.run(&stream, STUCK).await.err().unwrap_or(io::ErrorKind::UnexpectedEof.into()) };
-        let why = write.or(self.read(&stream, facade)).await;
-        // What never left is known to be unread, the rest is in doubt until the notices are replayed.
-        for run in self.runs.borrow_mut().values_mut() {
-            let left = |place: &(u64, u64)| place.0 != number || out.sent(place.1);
-            if let Some(command) = run.command.as_mut() {
-                command.sent = command.sent.filter(left);
-            }
-        }
-        why
+            async { Err(out.run(&stream, STUCK).await.err().unwrap_or(io::ErrorKind::UnexpectedEof.into())) };
+        let read = async { Err(self.read(&stream, facade).await) };
+        let next = async { Ok(self.successor(place, address).await) };
+        write.or(read).or(next).await
     }
 
+    /// What never left on the link that ends is known to be unread, what a later answer proves is known to be read;
+    /// the rest is in doubt until the notices are replayed.
     fn unlink(&self) {
-        *self.link.borrow_mut() = None;
-        self.asked.set(false);
         self.readings.borrow_mut().clear();
+        let Some(link) = self.link.borrow_mut().take() else { return };
+        for command in self.runs.borrow_mut().values_mut().filter_map(|run| run.command.as_mut()) {
+            if let Some((_, place)) = command.sent.filter(|sent| sent.0 == link.number) {
+                command.read = place < link.read;
+                command.sent = command.sent.filter(|_| link.out.sent(place));
+            }
+        }
     }
 
     async fn read(&self, mut stream: &Async<TcpStream>, facade: &Facade) -> io::Error {
@@ -270,8 +355,16 @@
                 Err(_) => note!("engine: HELLO {state} {ms}"),
             },
             ["STATS", "attached", ..] => self.attached(),
+            ["STATS", "settled", ..] => {
+                if let Some(link) = self.link.borrow_mut().as_mut().filter(|link| !link.ready) {
+                    link.read = u64::MAX;
+                    self.settled.notify(usize::MAX);
+                }
+            }
             ["STATS", _, ref gauges @ ..] => {
-                self.asked.set(false);
+                if let Some(link) = self.link.borrow_mut().as_mut() {
+                    link.read = link.asked.take().unwrap_or(link.read);
+                }
                 let number =
                     |text: &&str| text.parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0);
                 *self.readings.borrow_mut() = gauges.iter().map(number).collect();
@@ -335,7 +428,10 @@
         let Some(link) = link.as_mut().filter(|link| !link.ready) else { return };
         link.ready = true;
         for (id, run) in self.runs.borrow_mut().iter_mut() {
-            let Some(command) = run.command.as_mut() else { continue };
+            if run.halted {
+                link.out.put(|out| lines::put(out, format_args!("HALT {id}"), None));
+            }
+            let Some(command) = run.command.as_mut().filter(|command| !command.read) else { continue };
             if command.sent.is_none() || command.repeatable {
                 command.sent = Some((link.number, link.out.put(|out| out.extend_from_slice(&command.bytes))));
             } else {
--- a/crates/coralstep-server/src/facade.rs
+++ b/crates/coralstep-server/src/facade.rs
@@ -82,6 +82,8 @@
         took: Duration,
     },
     Ran(RunEnd),
+    /// Nobody waits for its answer any more.
+    Gone,
 }
 
 /// One RPC in the table.
@@ -387,6 +389,7 @@
                 };
                 self.happen(|server, now, desk| server.called(now, id, outcome, clock::span(took), desk));
             }
+            News::Gone => self.happen(|server, now, desk| server.gone(now, id, desk)),
             News::Ran(end) => {
                 let outcome = match end {
                     RunEnd::Ok(_) => Outcome::Ok,
@@ -486,7 +489,7 @@
     }
 
     fn limits() -> Limits {
-        Limits { connections: 1, rpcs: 2, results: 8 }
+        Limits { connections: 1, answers: 1, rpcs: 2, results: 8 }
     }
 
     fn offer(token: &[u8]) -> Offer {
--- a/crates/coralstep-server/src/gateway.rs
+++ b/crates/coralstep-server/src/gateway.rs
@@ -12,6 +12,8 @@
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncReadExt, FutureExt};
 
+use coralstep::Span;
+
 use crate::clock;
 use crate::config::Limits;
 use crate::course::{Course, Reply};
@@ -34,8 +36,19 @@
 const SWEEP: Duration = Duration::from_millis(100);
 /// A gateway asked to leave that still holds an idle connection open is left after so long.
 const LEAVE: Duration = Duration::from_secs(5);
-/// Bytes of a frame may trickle in for so long; a pause of the machine is shorter.
-const TRICKLE: Duration = Duration::from_secs(30);
+/// Guards against clients that say nothing and messages that never end: a connection's first message, and the rest of
+/// any, has so long to come.
+const MESSAGE: Duration = Duration::from_millis(1_500);
+/// What is still open on a connection that can't be read any more is given up after so long.
+const LEFT_OPEN: Duration = Duration::from_millis(1_000);
+/// Messages that can't be carried out before a connection counts as one of no gateway, and the pause after each:
+/// guards against a client that repeats them at full speed.
+const FAULTS_MOST: u32 = 8;
+const FAULT_PAUSE: Duration = Duration::from_millis(20);
+/// The age of a request may be anything up to this; what is older, nobody waits for. A machine's pause is shorter.
+const AGE_MOST: Span = Span::ms(60_000);
+/// How far ahead of ours the clock of a sender's stamps may be.
+const AHEAD_MOST: Duration = Duration::from_millis(500);
 /// Nothing more is read of a gateway that leaves so many bytes of answers unread.
 const OUT_MOST: usize = 32 * 1024;
 const READ: usize = 4 * 1024;
@@ -43,7 +56,17 @@
 /// One connection.
 struct Peer {
     out: Outbox,
-    open: Cell<usize>,
+    /// Sequence numbers of what is open, and the last one read.
+    open: RefCell<Vec<i32>>,
+    last: Cell<i32>,
+    /// It has sent a whole message.
+    spoke: Cell<bool>,
+    faults: Cell<u32>,
+    /// Its callers have gone.
+    gone: Cell<bool>,
+    /// Nor is anything more to be written on it.
+    cut: Cell<bool>,
+    going: Event,
     /// Since when it carries nothing.
     idle: Cell<Instant>,
     /// When it was asked to leave.
@@ -52,6 +75,51 @@
 }
 
 impl Peer {
+    fn new() -> Peer {
+        Peer {
+            out: Outbox::default(),
+            open: RefCell::default(),
+            last: Cell::new(0),
+            spoke: Cell::new(false),
+            faults: Cell::new(0),
+            gone: Cell::new(false),
+            cut: Cell::new(false),
+            going: Event::new(),
+            idle: Cell::new(Instant::now()),
+            closing: Cell::new(None),
+            answered: Event::new(),
+        }
+    }
+
+    fn busy(&self) -> bool {
+        !self.open.borrow().is_empty()
+    }
+
+    /// Ends when all that is open has its answer.
+    async fn answered(&self) {
+        while self.busy() {
+            let answered = self.answered.listen();
+            if self.busy() {
+                answered.await;
+            }
+        }
+    }
+
+    /// Whatever is open on it, nobody waits for that any more.
+    fn abandon(&self) {
+        self.gone.set(true);
+        self.going.notify(usize::MAX);
+    }
+
+    async fn abandoned(&self) {
+        while !self.gone.get() {
+            let going = self.going.listen();
+            if !self.gone.get() {
+                going.await;
+            }
+        }
+    }
+
     fn close(&self) {
         if self.closing.get().is_none() {
             self.closing.set(Some(Instant::now()));
@@ -94,12 +162,21 @@
         if !self.answered {
             self.peer.out.put(|out| thrift::exception(out, self.seq, "internal error"));
         }
-        self.peer.open.set(self.peer.open.get() - 1);
+        self.peer.open.borrow_mut().retain(|seq| *seq != self.seq);
         self.peer.idle.set(Instant::now());
         self.peer.answered.notify(usize::MAX);
     }
 }
 
+async fn after(span: Duration) {
+    Timer::after(span).await;
+}
+
+/// A figure from 0 to under `most`.
+fn within(value: &str, most: f64) -> Option<f64> {
+    value.parse().ok().filter(|figure: &f64| *figure >= 0.0 && *figure < most)
+}
+
 pub struct Gateway {
     executor: Rc<LocalExecutor<'static>>,
     facade: Rc<Facade>,
@@ -139,13 +216,6 @@
     /// Accepts until `shut`, then whatever the system had already accepted for us.
     pub async fn listen(self: &Rc<Self>, listener: Async<TcpListener>) {
         while !self.shut.get() {
-            if self.peers.borrow().len() >= self.limits.connections {
-                let left = self.left.listen();
-                if self.peers.borrow().len() >= self.limits.connections {
-                    left.or(self.shutting.listen()).await;
-                    continue;
-                }
-            }
             let shutting = self.shutting.listen();
             let stop = async {
                 shutting.await;
@@ -156,7 +226,9 @@
                 Err(why) if why.kind() == io::ErrorKind::Interrupted => {}
                 Err(why) => {
                     note!("accept: {why}");
-                    Timer::after(FULL).await;
+                    let left = self.left.listen();
+                    self.make_room();
+                    left.or(after(FULL)).await;
                 }
             }
         }
@@ -169,15 +241,24 @@
         }
     }
 
+    /// Ends the connection that is missed least: guards against silent clients that lock gateways out. First one that
+    /// never said anything, else one that carries nothing, each for the longest time; `false` where all carry something.
+    fn make_room(&self) -> bool {
+        let peers = self.peers.borrow();
+        let free = peers.iter().filter(|peer| !peer.busy() && !peer.gone.get());
+        let least = free.min_by_key(|peer| (peer.spoke.get(), peer.idle.get()));
+        least.inspect(|peer| peer.abandon()).is_some()
+    }
+
     fn admit(self: &Rc<Self>, stream: Async<TcpStream>) {
+        if self.peers.borrow().len() >= self.limits.connections {
+            note!("the table of connections is full");
+            if !self.make_room() {
+                return;
+            }
+        }
         let _ = stream.get_ref().set_nodelay(true);
-        let peer = Rc::new(Peer {
-            out: Outbox::default(),
-            open: Cell::new(0),
-            idle: Cell::new(Instant::now()),
-            closing: Cell::new(None),
-            answered: Event::new(),
-        });
+        let peer = Rc::new(Peer::new());
         self.peers.borrow_mut().push(peer.clone());
         if self.shut.get() {
             peer.close();
@@ -188,6 +269,7 @@
             if served.is_err() {
                 note!("a connection ended by a panic");
             }
+            peer.abandon();
             gateway.peers.borrow_mut().retain(|other| !Rc::ptr_eq(other, &peer));
             gateway.left.notify(usize::MAX);
         };
@@ -200,41 +282,59 @@
                 note!("connection ended: {why}");
             }
             // Open answers still go out; then the connection ends.
-            while peer.open.get() > 0 {
-                let answered = peer.answered.listen();
-                if peer.open.get() > 0 {
-                    answered.await;
-                }
-            }
-            peer.out.close();
+            peer.answered().or(after(LEFT_OPEN)).await;
+            peer.abandon();
             std::future::pending().await
         };
         let write = async {
             let _ = peer.out.run(stream, STUCK).await;
         };
-        write.or(read).await;
+        let gone = async {
+            peer.abandoned().await;
+            if !peer.cut.get() {
+                // What was open gets its answer, and all answers a moment to be read.
+                peer.answered().or(after(LEFT_OPEN)).await;
+                peer.out.close();
+                after(LEFT_OPEN).await;
+            }
+        };
+        write.or(gone).or(read).await;
     }
 
     /// Until the gateway has gone or what it writes can't be understood.
     async fn read(self: &Rc<Self>, mut stream: &Async<TcpStream>, peer: &Rc<Peer>) -> Result<(), String> {
         let (mut buffer, mut filled) = (vec![0; READ], 0);
+        // Since when a message is awaited.
+        let mut since = Instant::now();
         loop {
             peer.out.below(OUT_MOST).await;
             if filled == buffer.len() {
                 buffer.resize(2 * filled, 0);
             }
             let patience = async {
-                if filled == 0 {
+                if filled == 0 && peer.spoke.get() {
                     std::future::pending::<()>().await;
                 }
-                Timer::after(TRICKLE).await;
+                Timer::at(since + MESSAGE).await;
+                // Guards against a pause of the process: the rest may have come, unread as yet.
+                yield_now().await;
                 Err(io::ErrorKind::TimedOut.into())
             };
             match stream.read(&mut buffer[filled..]).or(patience).await {
                 Ok(0) if filled == 0 => return Ok(()),
                 Ok(0) => return Err("a frame was cut short".to_owned()),
-                Ok(count) => filled += count,
-                Err(why) => return Err(why.to_string()),
+                Ok(count) => {
+                    if filled == 0 && peer.spoke.get() {
+                        since = Instant::now();
+                    }
+                    filled += count;
+                }
+                Err(why) => {
+                    if why.kind() != io::ErrorKind::TimedOut {
+                        peer.abandon();
+                    }
+                    return Err(why.to_string());
+                }
             }
             // Guards against a gateway that always has more to read: others and the timers come in between.
             yield_now().await;
@@ -242,12 +342,19 @@
             loop {
                 match thrift::frame(&buffer[used..filled]) {
                     Ok(Some((frame, length))) => {
+                        let faults = peer.faults.get();
                         match thrift::decode(frame) {
-                            Ok(message) => self.message(peer, message),
+                            Ok(message) => self.message(peer, message)?,
                             Err(Fault::Message(seq, why)) => self.refuse(peer, seq, why),
                             Err(Fault::Garbled) => return Err("garbled message".to_owned()),
                         }
                         used += length;
+                        since = Instant::now();
+                        if peer.faults.get() >= FAULTS_MOST {
+                            return Err("too many messages that can't be carried out".to_owned());
+                        } else if peer.faults.get() > faults {
+                            Timer::after(FAULT_PAUSE).await;
+                        }
                     }
                     Ok(None) => break,
                     Err(_) => return Err("no frame of a proper length".to_owned()),
@@ -263,11 +370,18 @@
 
     fn refuse(&self, peer: &Rc<Peer>, seq: i32, why: &str) {
         note!("a request was not understood: {why}");
+        peer.faults.set(peer.faults.get() + 1);
         peer.out.put(|out| thrift::exception(out, seq, why));
     }
 
-    fn message(self: &Rc<Self>, peer: &Rc<Peer>, message: Message<'_>) {
+    fn message(self: &Rc<Self>, peer: &Rc<Peer>, message: Message<'_>) -> Result<(), String> {
         peer.idle.set(Instant::now());
+        peer.spoke.set(true);
+        let (Message::Ping { seq } | Message::Invoke { seq, .. }) = message;
+        // Guards against two requests under one number: the answer to one would pass as that to the other.
+        if seq <= peer.last.replace(seq) {
+            return Err("a sequence number again".to_owned());
+        }
         match message {
             Message::Ping { seq } => {
                 let (fields, good) = (self.fields(), self.facade.healthy());
@@ -279,6 +393,7 @@
                 }
             }
         }
+        Ok(())
     }
 
     fn invoke(
@@ -288,24 +403,31 @@
         fields: &[(&str, &str)],
         body: &[u8],
     ) -> Result<(), &'static str> {
-        if peer.open.get() >= OPEN_MOST {
+        if peer.open.borrow().len() >= OPEN_MOST {
             return Err("too many open requests");
         }
         if body.len() > BODY_MOST {
             return Err("body too long");
         }
-        let (mut offer, mut method, mut id, mut since, mut room) = (Offer::default(), None, None, None, None);
+        let (mut offer, mut method, mut id, mut age, mut room) = (Offer::default(), None, None, None, None);
         for (key, value) in fields {
             match *key {
                 "service" => method = Some(self.facade.method(value).ok_or("unknown service")?),
                 "ref" => id = Some(Ref::parse(value).ok_or("malformed ref")?),
-                "since" => since = Some(value.parse().map_err(|_| "malformed since")?),
-                "project" => offer.tenant = self.facade.tenant(value),
-                "dup" => offer.retry = *value == "1",
+                "since" => {
+                    let stamp = value.parse().map_err(|_| "malformed since")?;
+                    // Guards against stamps that would bend what is believed of the load.
+                    let known = clock::age(stamp, AHEAD_MOST).filter(|age| *age <= AGE_MOST);
+                    age = Some(known.ok_or("since out of range")?);
+                }
+                "project" => offer.tenant = Some(self.facade.tenant(value).ok_or("unknown project")?),
+                "sender" => drop(value.parse::<u32>().map_err(|_| "malformed sender")?),
+                "dup" if *value != "1" => return Err("malformed dup"),
+                "dup" => offer.retry = true,
                 "room" => {
-                    let kb = value.parse().ok().filter(|kb: &f64| *kb > 0.0 && *kb < ROOM_MOST);
-                    room = Some(kb.ok_or("malformed room")?);
+                    room = Some(within(value, ROOM_MOST).filter(|kb| *kb > 0.0).ok_or("malformed room")?)
                 }
+                "class_rank" => drop(within(value, 1.0).ok_or("malformed class_rank")?),
                 "replay" if value.len() > TOKEN_MOST => return Err("token too long"),
                 "replay" => offer.token = Some(value.as_bytes().into()),
                 _ => {}
@@ -313,13 +435,16 @@
         }
         let (method, id) = (method.ok_or("no service")?, id.ok_or("no ref")?);
         offer.method = method;
-        offer.age = clock::age(since.ok_or("no since")?);
+        offer.age = age.ok_or("no since")?;
         offer.room_kb = room.ok_or("no room")?;
-        peer.open.set(peer.open.get() + 1);
+        if !self.course.free(id) {
+            return Err("this ref is here already");
+        }
+        peer.open.borrow_mut().push(seq);
         let open = Open { gateway: self.clone(), peer: peer.clone(), seq, answered: false };
-        let (course, body) = (self.course.clone(), body.to_vec());
+        let (course, body, peer) = (self.course.clone(), body.to_vec(), peer.clone());
         let task = async move {
-            let run = course.run(offer, id, body, |reply| open.answer(reply));
+            let run = course.run(offer, id, body, peer.abandoned(), |reply| open.answer(reply));
             if AssertUnwindSafe(run).catch_unwind().await.is_err() {
                 note!("{id} ended by a panic");
             }
@@ -334,7 +459,7 @@
             Timer::after(SWEEP).await;
             let now = Instant::now();
             let limit = self.facade.idle_limit();
-            for peer in self.peers.borrow().iter().filter(|peer| peer.open.get() == 0) {
+            for peer in self.peers.borrow().iter().filter(|peer| !peer.busy()) {
                 if limit.is_some_and(|limit| now.saturating_duration_since(peer.idle.get()) >= limit) {
                     peer.close();
                 }
@@ -342,6 +467,20 @@
                     peer.out.close();
                 }
             }
+            self.bound_answers();
+        }
+    }
+
+    /// Guards against callers that read nothing: together their answers would fill the memory.
+    fn bound_answers(&self) {
+        let peers = self.peers.borrow();
+        let waiting: usize = peers.iter().map(|peer| peer.out.waiting()).sum();
+        if waiting > self.limits.answers
+            && let Some(most) = peers.iter().max_by_key(|peer| peer.out.waiting())
+        {
+            note!("unread answers fill the memory: one connection is ended");
+            most.cut.set(true);
+            most.abandon();
         }
     }
 
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -3,7 +3,6 @@
 //! shared state is held while waiting.
 use std::cell::Cell;
 use std::future::poll_fn;
-use std::io;
 use std::net::TcpListener;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
@@ -26,45 +25,51 @@
 pub mod lines;
 pub mod log;
 pub mod outbox;
+pub mod reload;
 pub mod store;
 pub mod thrift;
 
-use config::Config;
+use config::Source;
 use course::Course;
 use engine::Engine;
 use facade::Facade;
 use gateway::Gateway;
+use reload::Places;
 use store::Store;
 
 /// Before the engine is up nothing is to be decided; the clock of the decisions is looked at again after so long.
 const UNSTARTED: Duration = Duration::from_millis(100);
 
 /// Serves until told to leave.
-pub fn serve(config: Config) -> io::Result<()> {
-    let Config { name, listen, engine: engine_at, store: store_at, control: control_at, .. } = config;
-    let signals = drain::signals()?;
-    let listener = TcpListener::bind(listen)
-        .and_then(Async::new)
-        .map_err(|why| io::Error::new(why.kind(), format!("listen: {listen}: {why}")))?;
+pub fn serve(source: Source) -> Result<(), String> {
+    let (leave, again) = (drain::signals(), reload::signals());
+    let (leave, again) = leave.and_then(|leave| Ok((leave, again?))).map_err(|why| why.to_string())?;
+    let config = source.load()?;
+    let listen = config.listen;
+    let listener =
+        TcpListener::bind(listen).and_then(Async::new).map_err(|why| format!("listen: {listen}: {why}"))?;
     let executor = Rc::new(LocalExecutor::new());
-    let facade = Rc::new(Facade::new(config.terms, config.names, config.seed, &config.limits));
+    let (terms, names) = (config.terms.clone(), config.names.clone());
+    let facade = Rc::new(Facade::new(terms, names, config.seed, &config.limits));
+    let places = Rc::new(Places::of(&config));
     let engine = Rc::new(Engine::default());
-    let store = Rc::new(Store::new(store_at, executor.clone()));
-    let course = Rc::new(Course { facade: facade.clone(), engine: engine.clone(), store });
+    let course =
+        Rc::new(Course { facade: facade.clone(), engine: engine.clone(), store: Store(places.clone()) });
     let gateway = Rc::new(Gateway::new(executor.clone(), facade.clone(), course, config.limits));
     let leaving = Cell::new(false);
-    note!("{name} listens on {}", listener.get_ref().local_addr().unwrap_or(listen));
+    note!("{} listens on {}", config.name, listener.get_ref().local_addr().unwrap_or(listen));
     let forever = async {
         let parts: Vec<Part<'_>> = vec![
-            Box::pin(engine.keep(engine_at, &facade)),
-            Box::pin(control::report(&name, control_at, &facade, &leaving)),
+            Box::pin(engine.keep(&places.engine, &facade)),
+            Box::pin(control::report(&config.name, &places.control, &facade, &leaving)),
+            Box::pin(reload::wait(again, &source, &config, &places)),
             Box::pin(gateway.sweep()),
             Box::pin(beat(&facade, &engine)),
             Box::pin(gateway.listen(listener)),
         ];
         all(parts).await
     };
-    let leave = drain::wait(signals, &facade, &gateway, config.stop, &leaving);
+    let leave = drain::wait(leave, &facade, &gateway, config.stop, &leaving);
     block_on(executor.run(leave.or(forever)));
     Ok(())
 }
--- a/crates/coralstep-server/src/main.rs
+++ b/crates/coralstep-server/src/main.rs
@@ -3,11 +3,11 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use coralstep_server::config::Config;
+use coralstep_server::config::Source;
 use lexopt::Arg::{Long, Short, Value};
 
 const USAGE: &str = "\
-usage: coralstep serve [--config FILE]    serve until SIGTERM
+usage: coralstep serve [--config FILE]    serve until SIGTERM; SIGHUP reads FILE again
        coralstep check [--config FILE]    read the configuration and tell what is wrong with it
        coralstep version
        coralstep --help
@@ -59,12 +59,11 @@
             println!("coralstep {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Ok(Command::Check(path)) => Config::load(path).map(|config| {
+        Ok(Command::Check(path)) => Source::new(path).and_then(|source| source.load()).map(|config| {
             let (methods, tenants) = (config.names.methods.len(), config.names.tenants.len());
             println!("{}: {methods} methods, {tenants} tenants, listens on {}", config.name, config.listen);
         }),
-        Ok(Command::Serve(path)) => Config::load(path)
-            .and_then(|config| coralstep_server::serve(config).map_err(|why| why.to_string())),
+        Ok(Command::Serve(path)) => Source::new(path).and_then(coralstep_server::serve),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/coralstep-server/src/reload.rs
@@ -0,0 +1,83 @@
+//! SIGHUP: the configuration is read again, and the links move to the addresses that it now states.
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+
+use async_signal::{Signal, Signals};
+use event_listener::{Event, EventListener};
+use futures_lite::StreamExt;
+
+use crate::config::{Config, Source};
+use crate::note;
+
+/// Where somebody is; a new configuration may move it.
+pub struct Place<T> {
+    at: Cell<T>,
+    moved: Event,
+}
+
+impl<T: Copy + PartialEq> Place<T> {
+    pub fn new(at: T) -> Place<T> {
+        Place { at: Cell::new(at), moved: Event::new() }
+    }
+
+    pub fn get(&self) -> T {
+        self.at.get()
+    }
+
+    pub fn set(&self, at: T) {
+        if self.at.replace(at) != at {
+            self.moved.notify(usize::MAX);
+        }
+    }
+
+    /// Ends at the next move.
+    pub fn moved(&self) -> EventListener {
+        self.moved.listen()
+    }
+}
+
+/// All that a reload moves.
+pub struct Places {
+    pub engine: Place<SocketAddr>,
+    pub store: Place<Option<SocketAddr>>,
+    pub control: Place<SocketAddr>,
+}
+
+impl Places {
+    pub fn of(config: &Config) -> Places {
+        Places {
+            engine: Place::new(config.engine),
+            store: Place::new(config.store),
+            control: Place::new(config.control),
+        }
+    }
+}
+
+/// From here on SIGHUP is waited for. Guards against a reload that ends the process, also before the configuration
+/// was first read.
+pub fn signals() -> io::Result<Signals> {
+    Signals::new([Signal::Hup])
+}
+
+/// Takes up each new configuration; one that is at fault changes nothing.
+pub async fn wait(mut signals: Signals, source: &Source, start: &Config, places: &Places) {
+    while signals.next().await.is_some() {
+        match source.load() {
+            Ok(config) => take_up(&config, start, places),
+            Err(why) => note!("reload: {why}; all stays as it was"),
+        }
+    }
+}
+
+fn take_up(config: &Config, start: &Config, places: &Places) {
+    for (key, _) in config.fixed.iter().zip(&start.fixed).filter(|(new, old)| new != old).map(|(new, _)| new)
+    {
+        note!("reload: {key}: changes only with a restart");
+    }
+    places.engine.set(config.engine);
+    places.store.set(config.store);
+    places.control.set(config.control);
+    let store = config.store.map_or("nowhere".to_owned(), |at| at.to_string());
+    note!("reload: engine at {}, store at {store}, control plane at {}", config.engine, config.control);
+}
--- a/crates/coralstep-terms/src/lib.rs
+++ b/crates/coralstep-terms/src/lib.rs
@@ -15,7 +15,7 @@
 const NS_PER_TICK: u64 = 100_000;
 
 /// Names whose order other messages go by.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     pub methods: Vec<String>,
     pub tenants: Vec<String>,
