--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -33,9 +33,9 @@
 const AWAY_ADVICE: Span = Span::ms(5_000);
 /// The line for permits that new work may join: what they serve in a quarter of the wait.
 const PERMIT_LINE: Span = Span::ms(250);
-/// Parts used of the share of a shared dependency: while calls take long, and at the most (room for the dead). A
-/// dependency slow by itself gets no faster with less than half, and cores idle (rc9304a); with more it is crowded.
-const SHARE_LEAST: f64 = 0.5;
+/// Parts used of the share of a shared dependency: while calls take long, and at the most (room for the dead).
+const SHARE_FIRST: f64 = 0.5;
+const SHARE_LEAST: f64 = 0.25;
 const SHARE_MOST: f64 = 0.75;
 /// Call times are halved beyond so many: enough for a mean, few enough to follow a change in seconds.
 const CALLS_KNOWN: u64 = 40;
@@ -448,7 +448,7 @@
                 stalled: false,
             },
             bulkhead: Bulkhead {
-                permits: range.0,
+                permits: share.map_or(least, |all| all * SHARE_FIRST),
                 range,
                 share,
                 linger: share.map_or(Span::ZERO, |_| terms.linger),
