--- a/crates/coralstep-server/src/engine.rs
+++ b/crates/coralstep-server/src/engine.rs
@@ -431,7 +431,9 @@
                     self.notice(id, Notice::Done(RunEnd::Moot));
                 }
             }
-            ["DONE" | "NEED", ..] => note!("engine: a notice again, or malformed: {}", words.join(" ")),
+            // A notice again, which is nothing new.
+            ["DONE" | "NEED", number, ..]
+                if number.parse().is_ok_and(|number: u64| number <= self.last.get()) => {}
             _ => note!("engine: unknown message {}", words.join(" ")),
         }
     }
--- a/crates/coralstep-server/src/gateway.rs
+++ b/crates/coralstep-server/src/gateway.rs
@@ -252,7 +252,7 @@
 
     fn admit(self: &Rc<Self>, stream: Async<TcpStream>) {
         if self.peers.borrow().len() >= self.limits.connections {
-            note!("the table of connections is full");
+            note!(client: "the table of connections is full");
             if !self.make_room() {
                 return;
             }
@@ -279,7 +279,7 @@
     async fn serve(self: &Rc<Self>, stream: &Async<TcpStream>, peer: &Rc<Peer>) {
         let read = async {
             if let Err(why) = self.read(stream, peer).await {
-                note!("connection ended: {why}");
+                note!(client: "connection ended: {why}");
             }
             // Open answers still go out; then the connection ends.
             peer.answered().or(after(LEFT_OPEN)).await;
@@ -369,7 +369,7 @@
     }
 
     fn refuse(&self, peer: &Rc<Peer>, seq: i32, why: &str) {
-        note!("a request was not understood: {why}");
+        note!(client: "a request was not understood: {why}");
         peer.faults.set(peer.faults.get() + 1);
         peer.out.put(|out| thrift::exception(out, seq, why));
     }
@@ -501,3 +501,60 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use coralstep::{Method, Terms};
+    use coralstep_terms::Names;
+
+    use super::*;
+    use crate::engine::Engine;
+    use crate::reload::{Place, Places};
+    use crate::store::Store;
+
+    fn gateway() -> Gateway {
+        let limits = Limits { connections: 3, answers: 100, rpcs: 1, results: 1 };
+        let terms = Terms { methods: vec![Method::default()], ..Terms::default() };
+        let facade = Rc::new(Facade::new(terms, Names::default(), 1, &limits));
+        let nowhere = "127.0.0.1:9".parse().unwrap();
+        let places =
+            Places { engine: Place::new(nowhere), store: Place::new(None), control: Place::new(nowhere) };
+        let (engine, store) = (Rc::new(Engine::default()), Store(Rc::new(places)));
+        let course = Rc::new(Course { facade: facade.clone(), engine, store });
+        Gateway::new(Rc::new(LocalExecutor::new()), facade, course, limits)
+    }
+
+    fn peers(gateway: &Gateway, count: usize) -> Vec<Rc<Peer>> {
+        let peers: Vec<_> = (0..count).map(|_| Rc::new(Peer::new())).collect();
+        gateway.peers.borrow_mut().extend(peers.iter().cloned());
+        peers
+    }
+
+    #[test]
+    fn who_never_spoke_makes_room_first_and_who_carries_something_never() {
+        let gateway = gateway();
+        let peers = peers(&gateway, 4);
+        let (busy, longest, idle, silent) = (&peers[0], &peers[1], &peers[2], &peers[3]);
+        busy.open.borrow_mut().push(1);
+        [busy, longest, idle].iter().for_each(|peer| peer.spoke.set(true));
+        idle.idle.set(longest.idle.get() + Duration::from_millis(1));
+        for next in [silent, longest, idle] {
+            assert!(!next.gone.get() && gateway.make_room() && next.gone.get());
+        }
+        assert!(!gateway.make_room() && !busy.gone.get());
+    }
+
+    #[test]
+    fn unread_answers_of_all_connections_are_bounded_together() {
+        let gateway = gateway();
+        let peers = peers(&gateway, 3);
+        for (peer, bytes) in peers.iter().zip([30, 50, 20]) {
+            peer.out.put(|out| out.resize(bytes, 0));
+        }
+        gateway.bound_answers();
+        assert!(peers.iter().all(|peer| !peer.cut.get()));
+        peers[2].out.put(|out| out.push(0));
+        gateway.bound_answers();
+        assert_eq!(peers.iter().map(|peer| peer.cut.get()).collect::<Vec<_>>(), [false, true, false]);
+    }
+}
