Ages that a stranger claims teach nothing about the load

Ruled out as a remedy: a closer bound on ages, for one of a pause's length is an honest one.

Now a connection is proven once an RPC of it was served (gateway.rs `Open::answer`); before that its ages bound its own answers only (`Arrival::claimed`). Bad clients are never served, so they never get there.

--- a/crates/coralstep-server/src/facade.rs
+++ b/crates/coralstep-server/src/facade.rs
@@ -24,6 +24,8 @@
     pub retry: bool,
     /// Since it came to the machine.
     pub age: Span,
+    /// That is only what a stranger says.
+    pub claimed: bool,
     /// By which a repeat is known.
     pub token: Option<Box<[u8]>>,
 }
@@ -363,6 +365,7 @@
             held_kb: offer.room_kb,
             retry: offer.retry,
             age: offer.age,
+            claimed: offer.claimed,
             prior: prior.map_or(Prior::Nothing, Prior::Of),
             ..Arrival::default()
         };
--- a/crates/coralstep-server/src/gateway.rs
+++ b/crates/coralstep-server/src/gateway.rs
@@ -61,6 +61,8 @@
     last: Cell<i32>,
     /// It has sent a whole message.
     spoke: Cell<bool>,
+    /// An RPC of it was served, so it is a gateway's: what it says of ages is believed.
+    proven: Cell<bool>,
     faults: Cell<u32>,
     /// Its callers have gone.
     gone: Cell<bool>,
@@ -81,6 +83,7 @@
             open: RefCell::default(),
             last: Cell::new(0),
             spoke: Cell::new(false),
+            proven: Cell::new(false),
             faults: Cell::new(0),
             gone: Cell::new(false),
             cut: Cell::new(false),
@@ -140,6 +143,7 @@
     fn answer(mut self, reply: Reply<'_>) {
         let mut fields = self.gateway.fields();
         let seq = self.seq;
+        self.peer.proven.set(self.peer.proven.get() || matches!(reply, Reply::Ok(_)));
         self.peer.out.put(|out| match reply {
             Reply::Ok(body) => thrift::answer(out, "invoke", seq, body, &fields, true),
             Reply::Aborted => thrift::internal(out, seq, &fields),
@@ -436,6 +440,7 @@
         let (method, id) = (method.ok_or("no service")?, id.ok_or("no ref")?);
         offer.method = method;
         offer.age = age.ok_or("no since")?;
+        offer.claimed = !peer.proven.get();
         offer.room_kb = room.ok_or("no room")?;
         if !self.course.free(id) {
             return Err("this ref is here already");
--- a/crates/coralstep-server/tests/serve.rs
+++ b/crates/coralstep-server/tests/serve.rs
@@ -525,6 +525,28 @@
     assert_eq!(gate.said(), ok(seq, ""));
 }
 
+#[test]
+fn a_strangers_stamps_do_not_take_the_server_off_the_list() {
+    for proven in [false, true] {
+        let (rig, mut engine) = Rig::ready();
+        let (mut gate, mut other) = (rig.gate(), rig.gate());
+        if proven {
+            let seq = gate.invoke("pay", &id(1), b"", &[]);
+            engine.expect_run(&id(1), "pay");
+            engine.done(1, &id(1), "good", "");
+            assert_eq!(gate.said(), ok(seq, ""));
+        }
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() - 30_000;
+        let fields = [("service", "pay"), ("ref", &id(2)), ("since", &since.to_string()), ("room", "1")];
+        let bytes = gate.framed(&fields, b"");
+        gate.write(&bytes);
+        engine.go_on("0.5 1 0.1 3", false);
+        // Several beats, in which what is believed of the load takes effect.
+        std::thread::sleep(std::time::Duration::from_millis(300));
+        assert_eq!(other.ping(), !proven);
+    }
+}
+
 #[test]
 fn a_client_that_repeats_its_faults_is_left() {
     let (rig, _engine) = Rig::ready();
--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -477,7 +477,9 @@
             out.timer(BEAT);
         }
         site.arrive(&arrival);
-        self.unread = site.get(id).map_or(0.0, |rpc| Hold::of_limit(site, rpc, arrival.age)).max(self.unread);
+        // Guards against strangers whose stamps would take the server off the list.
+        let known = site.get(id).filter(|_| !arrival.claimed);
+        self.unread = known.map_or(0.0, |rpc| Hold::of_limit(site, rpc, arrival.age)).max(self.unread);
         if matches!(self.repeats.enter(site, id, arrival.prior, out), Step::Pass) {
             self.guard.enter(site, id, self.cores.stalled, out);
         }
@@ -596,8 +598,8 @@
         // Guards against a server that reads too late for any answer in time: it leaves until it has read up.
         let drowned = self.unread > if self.drowned { 1.0 } else { 2.0 / HOLD_SHARE };
         // Guards against storms of further tries: elsewhere is better only if the trouble is its own.
-        let cold = self.site.now < self.cores.cold_until;
-        self.site.alone = stalled || drowned || cold || self.guard.noticed.is_some();
+        let away = self.site.now < self.cores.cold_until || self.guard.noticed.is_some();
+        self.site.alone = stalled || drowned || away;
         if (stalled, drowned) != (self.cores.stalled, self.drowned) {
             (self.cores.stalled, self.drowned) = (stalled, drowned);
             out.log(format_args!("cores stand still: {stalled}, reading falls behind: {drowned}"));
@@ -642,8 +644,7 @@
     fn close(&mut self, id: RpcId, out: &mut dyn Outlet) {
         let Some(rpc) = self.site.get(id) else { return };
         let token = rpc.ran && rpc.token_until.is_some_and(|until| until > self.site.now);
-        let over = rpc.place == Place::Over && !token;
-        if over {
+        if rpc.place == Place::Over && !token {
             self.repeats.leave(&mut self.site, id, out);
             self.site.remove(id);
             out.release(id);
--- a/crates/coralstep/src/door.rs
+++ b/crates/coralstep/src/door.rs
@@ -193,6 +193,8 @@
     pub retry: bool,
     /// Since it reached the machine.
     pub age: Span,
+    /// That is only what a stranger says: nothing about the load is learned from it.
+    pub claimed: bool,
     pub prior: Prior,
 }
 
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -267,7 +267,9 @@
             rpc.tenant.inspect(|tenant| self.tenants[*tenant].asked += 1.0);
         }
         self.tries.asked += 1.0;
-        self.reads.add(arrival.age);
+        if !arrival.claimed {
+            self.reads.add(arrival.age);
+        }
         self.read = self.now;
         self.used_kb += rpc.held_kb;
         self.count[Place::Held as usize] += 1;
--- a/crates/coralstep/tests/scenarios.rs
+++ b/crates/coralstep/tests/scenarios.rs
@@ -164,7 +164,9 @@
                 let method = pairs.get("method").map_or(0, |method| number(method) as usize);
                 let held_kb = pairs.get("kb").map_or(10.0, |kb| number(kb));
                 let retry = words.contains(&"retry");
-                let arrival = Arrival { id: id(), method, age, prior, held_kb, retry, ..Arrival::default() };
+                let claimed = words.contains(&"claimed");
+                let arrival =
+                    Arrival { id: id(), method, age, claimed, prior, held_kb, retry, ..Arrival::default() };
                 server.rpc(now, arrival, out);
             }
             "settled" => server.settled(now, id(), outcome(words[2]), out),
