--- a/crates/coralstep-server/src/log.rs
+++ b/crates/coralstep-server/src/base/log.rs
@@ -66,7 +66,7 @@
 macro_rules! note {
     (client: $($text:tt)*) => { $crate::note!(@true, $($text)*) };
     (@$client:literal, $($text:tt)*) => {
-        match $crate::log::admitted(std::time::Instant::now(), $client) {
+        match $crate::base::log::admitted(std::time::Instant::now(), $client) {
             None => {}
             Some(0) => tracing::info!($($text)*),
             Some(left_out) => tracing::info!("{} ({left_out} lines left out before)", format_args!($($text)*)),
--- a/crates/coralstep-server/src/front.rs
+++ b/crates/coralstep-server/src/callers/front.rs
@@ -16,12 +16,12 @@
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncReadExt, FutureExt};
 
-use crate::config::Limits;
-use crate::course::{Course, Reply};
-use crate::facade::{About, Facade, Offer};
-use crate::lines::Ref;
+use crate::base::config::Limits;
+use crate::base::lines::Ref;
+use crate::base::outbox::{Outbox, STUCK};
+use crate::decisions::facade::{About, Facade, Offer};
 use crate::note;
-use crate::outbox::{Outbox, STUCK};
+use crate::runs::course::{Course, Reply};
 
 /// Pause after a connection could not be accepted: descriptors come free as connections close.
 const FULL: Duration = Duration::from_millis(100);
@@ -471,10 +471,10 @@
     use coralstep_terms::Names;
 
     use super::*;
-    use crate::engine::Engine;
-    use crate::gateway::Thrift;
-    use crate::reload::{Place, Places};
-    use crate::store::Store;
+    use crate::base::places::{Place, Places};
+    use crate::callers::gateway::Thrift;
+    use crate::dependency::store::Store;
+    use crate::runs::engine::Engine;
 
     fn table() -> Table {
         let limits = Limits { connections: 3, answers: 100, rpcs: 1, results: 1, ids: 1 };
--- a/crates/coralstep-server/src/gateway.rs
+++ b/crates/coralstep-server/src/callers/gateway.rs
@@ -5,14 +5,14 @@
 use async_io::{Async, Timer};
 use std::net::TcpStream;
 
-use crate::clock;
-use crate::course::Reply;
-use crate::facade::{About, Offer};
-use crate::front::{Came, Front, Inbox, Peer, Reading, Table, Writer};
-use crate::lines::Ref;
+use crate::base::clock;
+use crate::base::lines::Ref;
+use crate::callers::front::{Came, Front, Inbox, Peer, Reading, Table, Writer};
+use crate::callers::said::{AGE_MOST, AHEAD_MOST, ROOM_MOST, TOKEN_MOST, within};
+use crate::callers::thrift::{self, Fault, Message};
+use crate::decisions::facade::{About, Offer};
 use crate::note;
-use crate::said::{AGE_MOST, AHEAD_MOST, ROOM_MOST, TOKEN_MOST, within};
-use crate::thrift::{self, Fault, Message};
+use crate::runs::course::Reply;
 
 /// Open requests on one connection, by the protocol.
 const OPEN_MOST: usize = 32;
--- a/crates/coralstep-server/src/scgi.rs
+++ b/crates/coralstep-server/src/callers/scgi.rs
@@ -14,13 +14,13 @@
 use futures_lite::AsyncReadExt;
 use futures_lite::future::yield_now;
 
-use crate::clock;
-use crate::course::Reply;
-use crate::facade::{About, Offer};
-use crate::front::{Came, Front, Inbox, Peer, Reading, Table, Writer};
-use crate::lines::Ref;
+use crate::base::clock;
+use crate::base::lines::Ref;
+use crate::callers::front::{Came, Front, Inbox, Peer, Reading, Table, Writer};
+use crate::callers::said::{AGE_MOST, AHEAD_MOST, PATIENCE_MOST_MS, ROOM_MOST, TOKEN_MOST, within};
+use crate::decisions::facade::{About, Offer};
 use crate::note;
-use crate::said::{AGE_MOST, AHEAD_MOST, PATIENCE_MOST_MS, ROOM_MOST, TOKEN_MOST, within};
+use crate::runs::course::Reply;
 
 /// Headers and bytes of headers of one request at the most.
 const HEADERS_MOST: usize = 128;
--- a/crates/coralstep-server/src/cli/levels.rs
+++ b/crates/coralstep-server/src/cli/levels.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use coralstep_levels::{LevelTerms, replay};
-use coralstep_server::ops::Question;
+use coralstep_server::operators::ops::Question;
 use coralstep_terms::site::{Listen, SiteTerms};
 use lexopt::Arg::{Long, Short, Value};
 use lexopt::ValueExt;
--- a/crates/coralstep-server/src/facade.rs
+++ b/crates/coralstep-server/src/decisions/facade.rs
@@ -13,9 +13,9 @@
 use coralstep_terms::Names;
 use event_listener::Event;
 
-use crate::clock::{self, Clock};
-use crate::config::Limits;
-use crate::levels::Kept;
+use crate::base::clock::{self, Clock};
+use crate::base::config::Limits;
+use crate::decisions::levels::Kept;
 use crate::note;
 
 /// What is known of an RPC once it is read.
--- a/crates/coralstep-server/src/levels.rs
+++ b/crates/coralstep-server/src/decisions/levels.rs
@@ -8,7 +8,7 @@
 use coralstep_levels::{Change, LevelTerms, Levels, Sample, View};
 use serde::Serialize;
 
-use crate::clock::Clock;
+use crate::base::clock::Clock;
 
 /// Changes that are remembered.
 const HISTORY_MOST: usize = 200;
@@ -97,7 +97,7 @@
 
     pub fn hold(&self, level: &str, ms: u64) -> Result<(), String> {
         let span = Duration::from_millis(ms);
-        self.levels.borrow_mut().hold(self.clock.now(), level, crate::clock::span(span))
+        self.levels.borrow_mut().hold(self.clock.now(), level, crate::base::clock::span(span))
     }
 
     pub fn release(&self) -> bool {
--- /dev/null
+++ b/crates/coralstep-server/src/decisions/mod.rs
@@ -0,0 +1,3 @@
+//! The way to the decisions, and what rides on their beat.
+pub mod facade;
+pub mod levels;
--- /dev/null
+++ b/crates/coralstep-server/src/dependency/mod.rs
@@ -0,0 +1,2 @@
+//! The dependency that RPCs call.
+pub mod store;
--- a/crates/coralstep-server/src/store.rs
+++ b/crates/coralstep-server/src/dependency/store.rs
@@ -13,10 +13,10 @@
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
-use crate::facade::CallEnd;
-use crate::lines::{self, Ref};
+use crate::base::lines::{self, Ref};
+use crate::base::places::Places;
+use crate::decisions::facade::CallEnd;
 use crate::note;
-use crate::reload::Places;
 
 /// The store itself says when the stated time is over; ours runs out a little later, for a store that says nothing.
 const SILENT: Duration = Duration::from_millis(30);
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -1,6 +1,12 @@
-//! One coralstep server on sockets. `facade` is the way to the decisions; the fronts `gateway` (Thrift) and `scgi` speak with
-//! callers, `engine` or `applications` and `store` do what was decided, `course` leads each RPC through them. One thread, no lock, and no borrow of
-//! shared state is held while waiting.
+//! One coralstep server on sockets. A room a concern, arrows one way:
+//!
+//! ```text
+//! life ──> operators, callers ──> runs ──> dependency ──> decisions ──> base
+//! ```
+//!
+//! `decisions::facade` is the way to the decisions; the fronts in `callers` read RPCs, `runs::course` leads each of them through what was
+//! decided, at `runs::engine` or `runs::applications` and at `dependency::store`. One thread, no lock, and no borrow of shared state is
+//! held while waiting.
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::net::{SocketAddr, TcpListener};
@@ -14,43 +20,30 @@
 use async_io::{Async, Timer, block_on};
 use futures_lite::FutureExt;
 
-pub mod applications;
-pub mod clock;
-pub mod config;
-pub mod control;
-pub mod course;
-pub mod drain;
-pub mod engine;
-pub mod facade;
-pub mod front;
-pub mod gateway;
-pub mod keep;
-pub mod ledger;
-pub mod levels;
-pub mod lines;
-pub mod log;
-pub mod ops;
-pub mod outbox;
-pub mod reload;
+pub mod base;
+pub mod callers;
+pub mod decisions;
+pub mod dependency;
+pub mod life;
+pub mod operators;
 pub mod runs;
-pub mod said;
-pub mod scgi;
-pub mod store;
-pub mod thrift;
 
-use applications::Applications;
-use config::Source;
-use course::Course;
-use engine::Engine;
-use facade::Facade;
-use front::{Front, Table};
-use gateway::Thrift;
-use keep::Keeper;
-use ops::Operator;
-use reload::{Movable, Places};
+use base::config::Source;
+use base::log;
+use base::places::Places;
+use callers::front::{Front, Table};
+use callers::gateway::Thrift;
+use callers::scgi::Scgi;
+use decisions::facade::Facade;
+use dependency::store::Store;
+use life::keep::Keeper;
+use life::reload::Movable;
+use life::{control, drain, reload};
+use operators::ops::Operator;
 use runs::Runs;
-use scgi::Scgi;
-use store::Store;
+use runs::applications::Applications;
+use runs::course::Course;
+use runs::engine::Engine;
 
 /// Before the engine is up nothing is to be decided; the clock of the decisions is looked at again after so long.
 const UNSTARTED: Duration = Duration::from_millis(100);
--- a/crates/coralstep-server/src/control.rs
+++ b/crates/coralstep-server/src/life/control.rs
@@ -6,9 +6,9 @@
 
 use async_io::Timer;
 
-use crate::facade::Facade;
+use crate::base::places::Place;
+use crate::decisions::facade::Facade;
 use crate::note;
-use crate::reload::Place;
 
 /// An entry lapses 3 s after its last report. Guards against reports that get lost: of ten in that time, one that comes
 /// is enough.
--- a/crates/coralstep-server/src/drain.rs
+++ b/crates/coralstep-server/src/life/drain.rs
@@ -7,8 +7,8 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
 
-use crate::facade::Facade;
-use crate::front::Table;
+use crate::callers::front::Table;
+use crate::decisions::facade::Facade;
 use crate::note;
 
 /// So long before the stop nobody is let in any more: the decisions give their last answers before that, and what
--- a/crates/coralstep-server/src/keep.rs
+++ b/crates/coralstep-server/src/life/keep.rs
@@ -13,8 +13,8 @@
 use coralstep_state::trust::Fingerprint;
 use coralstep_terms::site::StateTerms;
 
-use crate::config::Config;
-use crate::facade::Facade;
+use crate::base::config::Config;
+use crate::decisions::facade::Facade;
 use crate::note;
 
 /// What is due is looked at this often.
--- a/crates/coralstep-server/src/reload.rs
+++ b/crates/coralstep-server/src/life/reload.rs
@@ -1,63 +1,18 @@
 //! SIGHUP: the configuration is read again, and the links move to the addresses that it now states.
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use async_signal::{Signal, Signals};
 use coralstep_terms::site::SiteTerms;
-use event_listener::{Event, EventListener};
 use futures_lite::StreamExt;
 
-use crate::applications::Applications;
-use crate::config::{Config, Source};
-use crate::levels::Kept;
+use crate::base::config::{Config, Source};
+use crate::base::places::Places;
+use crate::callers::scgi::Scgi;
+use crate::decisions::levels::Kept;
 use crate::note;
-use crate::scgi::Scgi;
-
-/// Where somebody is; a new configuration may move it.
-pub struct Place<T> {
-    at: Cell<T>,
-    moved: Event,
-}
-
-impl<T: Copy + PartialEq> Place<T> {
-    pub fn new(at: T) -> Place<T> {
-        Place { at: Cell::new(at), moved: Event::new() }
-    }
-
-    pub fn get(&self) -> T {
-        self.at.get()
-    }
-
-    pub fn set(&self, at: T) {
-        if self.at.replace(at) != at {
-            self.moved.notify(usize::MAX);
-        }
-    }
-
-    /// Ends at the next move.
-    pub fn moved(&self) -> EventListener {
-        self.moved.listen()
-    }
-}
-
-/// All that a reload moves.
-pub struct Places {
-    pub engine: Place<Option<SocketAddr>>,
-    pub store: Place<Option<SocketAddr>>,
-    pub control: Place<Option<SocketAddr>>,
-}
-
-impl Places {
-    pub fn of(config: &Config) -> Places {
-        Places {
-            engine: Place::new(config.engine),
-            store: Place::new(config.store),
-            control: Place::new(config.control),
-        }
-    }
-}
+use crate::runs::applications::Applications;
 
 /// From here on SIGHUP is waited for. Guards against a reload that ends the process, also before the configuration
 /// was first read.
--- a/crates/coralstep-server/src/main.rs
+++ b/crates/coralstep-server/src/main.rs
@@ -8,7 +8,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use coralstep_server::config::{Config, Source};
+use coralstep_server::base::config::{Config, Source};
 use coralstep_terms::site::SiteTerms;
 use lexopt::Arg::{Long, Short, Value};
 
--- /dev/null
+++ b/crates/coralstep-server/src/operators/mod.rs
@@ -0,0 +1,2 @@
+//! Where operators ask.
+pub mod ops;
--- a/crates/coralstep-server/src/ops.rs
+++ b/crates/coralstep-server/src/operators/ops.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use crate::facade::Facade;
+use crate::decisions::facade::Facade;
 use crate::note;
 
 /// Connections at once, bytes of a question, and how long one may take.
--- a/crates/coralstep-server/src/applications.rs
+++ b/crates/coralstep-server/src/runs/applications.rs
@@ -25,9 +25,9 @@
 use coralstep_terms::site::ApplicationTerms;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
-use crate::clock::{self, Clock};
-use crate::facade::RunEnd;
-use crate::lines::Ref;
+use crate::base::clock::{self, Clock};
+use crate::base::lines::Ref;
+use crate::decisions::facade::RunEnd;
 use crate::note;
 use crate::runs::{Notice, Notices, Order, Run, Runs};
 
--- a/crates/coralstep-server/src/course.rs
+++ b/crates/coralstep-server/src/runs/course.rs
@@ -7,14 +7,14 @@
 use coralstep::Effect;
 use futures_lite::FutureExt;
 
-use crate::clock;
-use crate::config::Limits;
-use crate::facade::{Facade, News, Offer, RunEnd, Verdict};
-use crate::ledger::{Known, Ledger};
-use crate::lines::Ref;
+use crate::base::clock;
+use crate::base::config::Limits;
+use crate::base::lines::Ref;
+use crate::decisions::facade::{Facade, News, Offer, RunEnd, Verdict};
+use crate::dependency::store::{self, Call, Store};
 use crate::note;
+use crate::runs::ledger::{Known, Ledger};
 use crate::runs::{Notice, Order, Runs};
-use crate::store::{self, Call, Store};
 
 /// The final answer.
 #[derive(Debug, PartialEq)]
--- a/crates/coralstep-server/src/engine.rs
+++ b/crates/coralstep-server/src/runs/engine.rs
@@ -12,11 +12,11 @@
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, FutureExt};
 
-use crate::facade::{Facade, RunEnd};
-use crate::lines::{self, Ref};
+use crate::base::lines::{self, Ref};
+use crate::base::outbox::{Outbox, STUCK};
+use crate::base::places::Place;
+use crate::decisions::facade::{Facade, RunEnd};
 use crate::note;
-use crate::outbox::{Outbox, STUCK};
-use crate::reload::Place;
 use crate::runs::{Notice, Notices, Order, Runs};
 
 /// Between two attempts to connect. What runs meanwhile can't be told anything.
--- a/crates/coralstep-server/src/ledger.rs
+++ b/crates/coralstep-server/src/runs/ledger.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use crate::lines::Ref;
+use crate::base::lines::Ref;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Entry {
--- a/crates/coralstep-server/src/runs.rs
+++ b/crates/coralstep-server/src/runs/mod.rs
@@ -1,11 +1,16 @@
-//! Where RPCs run, as an RPC's course sees it. Two make it: the link to an engine, and a pool of SCGI applications.
+//! What runs the RPCs. Here: where they run, as an RPC's course sees it. Two make it: the link to an engine, and a pool of SCGI applications.
+pub mod applications;
+pub mod course;
+pub mod engine;
+pub mod ledger;
+
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Instant;
 
-use crate::facade::RunEnd;
-use crate::lines::Ref;
+use crate::base::lines::Ref;
+use crate::decisions::facade::RunEnd;
 
 #[derive(Debug)]
 pub enum Notice {
--- a/crates/coralstep-server/tests/levels.rs
+++ b/crates/coralstep-server/tests/levels.rs
@@ -104,7 +104,7 @@
 #[test]
 fn a_log_of_json_can_be_replayed_through_other_conditions() {
     let socket = socket("json");
-    let log = r#", "log": {"format": "json", "levels": "info,coralstep_server::engine=off"}"#;
+    let log = r#", "log": {"format": "json", "levels": "info,coralstep_server::runs::engine=off"}"#;
     let rig = Rig::site(&site(&socket, log));
     let mut engine = rig.engine(0, "old 3600000");
     engine.sleep(Duration::from_millis(3_200));
