--- a/crates/coralstep-lab/src/emulate/engine.rs
+++ b/crates/coralstep-lab/src/emulate/engine.rs
@@ -36,6 +36,57 @@
     }
 }
 
+/// What an engine is, whatever it runs.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineTerms {
+    pub cores: u32,
+    /// Runs a core past which less gets done in total.
+    pub crowd: f64,
+    pub speed: f64,
+    /// Just started: so slow, and warm after so long.
+    pub cold: Option<(f64, Duration)>,
+    /// Links end after so long.
+    pub breaks: Option<Duration>,
+    /// A run that waits for its call does so for good, also when its RPC is long over.
+    pub never_ends: bool,
+}
+
+/// What runs on an engine, and who is told of it.
+pub trait Work: Send {
+    /// A run begins: its work in milliseconds of a core of speed 1, before its call and, where it makes one, behind it. None for a
+    /// method that nobody knows.
+    fn begins(&mut self, id: &str, method: &str, body: &[u8]) -> Option<(f64, Option<f64>)>;
+    /// So many runs are on the cores.
+    fn crowd(&mut self, _running: usize) {}
+}
+
+/// What a world says of its runs, and its witness.
+struct OfWorld {
+    world: World,
+    server: usize,
+    chance: SmallRng,
+    plight: Arc<Mutex<Plight>>,
+    witness: Arc<Witness>,
+}
+
+impl Work for OfWorld {
+    fn begins(&mut self, id: &str, method: &str, _body: &[u8]) -> Option<(f64, Option<f64>)> {
+        self.witness.began(id);
+        let of = self.world.methods.iter().find(|of| of.name == method)?;
+        let mut work = of.work_ms.draw(&mut self.chance);
+        if let Some((part, size)) = super::lock(&self.plight).tail
+            && self.chance.random_range(0.0..1.0) < part
+        {
+            work *= size;
+        }
+        Some(if of.calls { (work / 2.0, Some(work / 2.0)) } else { (work, None) })
+    }
+
+    fn crowd(&mut self, running: usize) {
+        self.witness.crowd(self.server, running);
+    }
+}
+
 pub struct Engine {
     pub address: SocketAddr,
     pub plight: Arc<Mutex<Plight>>,
@@ -60,24 +111,40 @@
         seed: u64,
         witness: Arc<Witness>,
     ) -> std::io::Result<Engine> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let plight = Arc::new(Mutex::new(Plight::default()));
+        let (of, chance) = (&world.servers, SmallRng::seed_from_u64(seed));
+        let terms = EngineTerms {
+            cores: of.cores,
+            crowd: of.crowd,
+            speed,
+            cold: cold.then(|| (of.cold_speed, Duration::from_secs_f64(of.warm_ms / 1000.0))),
+            breaks: None,
+            never_ends: false,
+        };
+        let work = OfWorld { world: world.clone(), server, chance, plight: plight.clone(), witness };
+        Engine::serve(TcpListener::bind("127.0.0.1:0")?, terms, work, plight)
+    }
+
+    /// An engine for whoever connects to `listener`, until it is dropped.
+    pub fn serve(
+        listener: TcpListener,
+        terms: EngineTerms,
+        work: impl Work + 'static,
+        plight: Arc<Mutex<Plight>>,
+    ) -> std::io::Result<Engine> {
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let plight = Arc::new(Mutex::new(Plight::default()));
         let stop = Arc::new(AtomicBool::new(false));
         let mut state = State {
-            world: world.clone(),
-            server,
-            speed,
-            cold: cold.then(Instant::now),
-            chance: SmallRng::seed_from_u64(seed),
+            terms,
+            work: Box::new(work),
+            began: Instant::now(),
             plight: plight.clone(),
             jobs: Vec::new(),
             ended: VecDeque::new(),
             known: HashMap::new(),
             notices: VecDeque::new(),
             dropped: 0,
-            witness,
             last: Instant::now(),
         };
         let end = stop.clone();
@@ -109,11 +176,10 @@
 }
 
 struct State {
-    world: World,
-    server: usize,
-    speed: f64,
-    cold: Option<Instant>,
-    chance: SmallRng,
+    terms: EngineTerms,
+    work: Box<dyn Work>,
+    /// When the engine was started.
+    began: Instant,
     plight: Arc<Mutex<Plight>>,
     jobs: Vec<Job>,
     ended: VecDeque<String>,
@@ -121,7 +187,6 @@
     notices: VecDeque<Vec<u8>>,
     /// Notices that are no longer kept.
     dropped: usize,
-    witness: Arc<Witness>,
     last: Instant,
 }
 
@@ -140,23 +205,24 @@
     fn pass(&mut self) {
         let now = Instant::now();
         let ms = (now - std::mem::replace(&mut self.last, now)).as_secs_f64() * 1000.0;
-        let plight = *self.plight.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let (plight, terms) = (*super::lock(&self.plight), self.terms);
         if plight.paused {
             return;
         }
-        let servers = &self.world.servers;
-        let warm = self.cold.map_or(1.0, |since| {
-            let part = since.elapsed().as_secs_f64() * 1000.0 / servers.warm_ms.max(1.0);
-            (servers.cold_speed + (1.0 - servers.cold_speed) * part).min(1.0)
+        let warm = terms.cold.map_or(1.0, |(speed, after)| {
+            let part = self.began.elapsed().as_secs_f64() / after.as_secs_f64().max(0.001);
+            (speed + (1.0 - speed) * part).min(1.0)
         });
         let running = self.jobs.iter().filter(|job| job.waits.is_none()).count().max(1) as f64;
-        let cores = f64::from(servers.cores);
-        let crowd = (servers.crowd * cores / running).min(1.0);
-        let each = ms * self.speed * warm / plight.slow * (cores / running).min(1.0) * crowd;
+        let cores = f64::from(terms.cores);
+        let crowd = (terms.crowd * cores / running).min(1.0);
+        let each = ms * terms.speed * warm / plight.slow * (cores / running).min(1.0) * crowd;
         let (mut over, mut calls) = (Vec::new(), Vec::new());
         for job in &mut self.jobs {
             match job.waits {
-                Some(since) if since.elapsed() > FED => over.push((job.id.clone(), "cut", Vec::new())),
+                Some(since) if since.elapsed() > FED && !terms.never_ends => {
+                    over.push((job.id.clone(), "cut", Vec::new()))
+                }
                 Some(_) => {}
                 None => {
                     job.left -= each;
@@ -195,8 +261,9 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_millis(1)))?;
         stream.set_write_timeout(Some(Duration::from_secs(1)))?;
-        let (mut bytes, mut sent) = (Vec::new(), None);
-        while !stop.load(Ordering::SeqCst) {
+        let (mut bytes, mut sent, since) = (Vec::new(), None, Instant::now());
+        let breaks = self.terms.breaks;
+        while !stop.load(Ordering::SeqCst) && breaks.is_none_or(|breaks| since.elapsed() < breaks) {
             let mut more = [0; 4096];
             match stream.read(&mut more) {
                 Ok(0) => return Ok(()),
@@ -210,8 +277,8 @@
                 match words[..] {
                     ["ATTACH", number] => {
                         sent = number.parse::<usize>().ok();
-                        let hello = match self.cold {
-                            Some(since) => format!("HELLO new {}\r\n", since.elapsed().as_millis()),
+                        let hello = match self.terms.cold {
+                            Some(_) => format!("HELLO new {}\r\n", self.began.elapsed().as_millis()),
                             None => "HELLO old 3600000\r\n".to_owned(),
                         };
                         stream.write_all(hello.as_bytes())?;
@@ -220,7 +287,7 @@
                         // All notices so far go before the answer.
                         self.send(&mut stream, &mut sent)?;
                         let running = self.jobs.iter().filter(|job| job.waits.is_none()).count();
-                        let busy = (running as f64 / f64::from(self.world.servers.cores)).min(1.0);
+                        let busy = (running as f64 / f64::from(self.terms.cores)).min(1.0);
                         stream.write_all(format!("STATS {tag} {busy} {running} 0.1 3\r\n").as_bytes())?;
                     }
                     ["RUN", id, method, _] => self.run(id, method, body),
@@ -241,7 +308,7 @@
             self.pass();
             self.send(&mut stream, &mut sent)?;
             let running = self.jobs.iter().filter(|job| job.waits.is_none()).count();
-            self.witness.crowd(self.server, running);
+            self.work.crowd(running);
         }
         Ok(())
     }
@@ -253,18 +320,9 @@
         if self.known.contains_key(id) {
             return self.notice("DONE", &format!("{id} gone 0"), b"");
         }
-        self.witness.began(id);
-        let Some(of) = self.world.methods.iter().find(|of| of.name == method) else {
+        let Some((left, behind)) = self.work.begins(id, method, &body) else {
             return self.notice("DONE", &format!("{id} bad 0"), b"");
         };
-        let mut work = of.work_ms.draw(&mut self.chance);
-        let tail = self.plight.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).tail;
-        if let Some((part, size)) = tail
-            && self.chance.random_range(0.0..1.0) < part
-        {
-            work *= size;
-        }
-        let (left, behind) = if of.calls { (work / 2.0, Some(work / 2.0)) } else { (work, None) };
         self.jobs.push(Job { id: id.to_owned(), body, left, behind, waits: None, bare: false });
     }
 
--- a/crates/coralstep-lab/src/emulate/mod.rs
+++ b/crates/coralstep-lab/src/emulate/mod.rs
@@ -20,7 +20,7 @@
 pub mod application;
 pub mod engine;
 pub mod fleet;
-mod lines;
+pub mod lines;
 pub mod store;
 pub mod wire;
 
--- a/crates/coralstep-lab/src/explore/module.rs
+++ b/crates/coralstep-lab/src/explore/module.rs
@@ -3,11 +3,10 @@
 //! patience is over end as timed out, RPCs that are answered at their call end there.
 use std::collections::BTreeMap;
 
-use coralstep::{
-    Arrival, Below, Effect, Gauges, Method, Outcome, Outlet, RpcId, Server, Span, Terms, Time, Turn,
-};
+use coralstep::{Arrival, Below, Effect, Gauges, Method, Outcome, RpcId, Server, Span, Terms, Time, Turn};
 
 use super::Play;
+use crate::acts::{Act, Acts};
 use crate::rules::{Rules, Told};
 
 /// RPCs of one history.
@@ -92,48 +91,6 @@
     cut: bool,
 }
 
-/// What the server answered, to be acted on.
-enum Act {
-    Admit(RpcId),
-    PushBack(RpcId),
-    Abort(RpcId),
-    Call(RpcId, Span),
-    Skip(RpcId),
-    Preempt(RpcId),
-    Release(RpcId),
-    Turn(Turn),
-}
-
-#[derive(Default)]
-struct Acts(Vec<Act>);
-
-impl Outlet for Acts {
-    fn admit(&mut self, rpc: RpcId) {
-        self.0.push(Act::Admit(rpc));
-    }
-    fn push_back(&mut self, rpc: RpcId, _after: Span, _last: bool) {
-        self.0.push(Act::PushBack(rpc));
-    }
-    fn abort(&mut self, rpc: RpcId) {
-        self.0.push(Act::Abort(rpc));
-    }
-    fn call(&mut self, rpc: RpcId, patience: Span) {
-        self.0.push(Act::Call(rpc, patience));
-    }
-    fn skip(&mut self, rpc: RpcId) {
-        self.0.push(Act::Skip(rpc));
-    }
-    fn preempt(&mut self, rpc: RpcId) {
-        self.0.push(Act::Preempt(rpc));
-    }
-    fn release(&mut self, rpc: RpcId) {
-        self.0.push(Act::Release(rpc));
-    }
-    fn breaker(&mut self, turn: Turn) {
-        self.0.push(Act::Turn(turn));
-    }
-}
-
 pub struct Module {
     server: Server,
     cheat: Cheat,
@@ -228,7 +185,7 @@
                     self.rules.began(now, u64::from(id.0), token);
                 }
             }
-            Act::PushBack(id) => self.answered(id, Told::PushedBack),
+            Act::PushBack(id, ..) => self.answered(id, Told::PushedBack),
             Act::Abort(id) => {
                 let trial = self.state == "half-open" && !self.leaving;
                 let since = self.since;
@@ -253,6 +210,7 @@
                 self.rules.over(now, u64::from(id.0));
             }
             Act::Turn(turn) => self.turned(turn),
+            Act::Keep(_) | Act::Drop(_) | Act::Replay(_) | Act::Health(_) | Act::Timer(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/coralstep-lab/src/simulate/clockwork.rs
@@ -0,0 +1,156 @@
+//! What happens when: events in their order, what is looked at ten times a second, the end of the day.
+use coralstep::Time;
+use coralstep_pool::End;
+use rand::Rng;
+
+use super::{Day, Event, LOOK, ORIGIN, Sim, ticks};
+use crate::record::{Loss, Record};
+
+impl Sim<'_> {
+    pub(super) fn play(mut self) -> (Day, Record) {
+        while let Some((now, event)) = self.queue.pop() {
+            self.now = now;
+            self.day.events += 1;
+            if matches!(event, Event::End) {
+                break;
+            }
+            self.event(event);
+        }
+        self.end()
+    }
+
+    pub(super) fn push(&mut self, at: u64, event: Event) {
+        let tie = self.chance.random();
+        self.queue.push(at, tie, event);
+    }
+
+    pub(super) fn event(&mut self, event: Event) {
+        match event {
+            Event::Arrive => {
+                self.request();
+                self.next_arrival();
+            }
+            Event::Try(request) => self.attempt(request),
+            Event::Beat(node, life, beat) => {
+                if self.nodes[node].life == life && self.nodes[node].beat == beat {
+                    self.beat(node);
+                }
+            }
+            Event::Done(node, version) => {
+                if self.nodes[node].version == version {
+                    self.done(node);
+                }
+            }
+            Event::Called { node, life, rpc, call, outcome, began } => {
+                self.calls = self.calls.saturating_sub(1);
+                let known = self.nodes[node].life == life;
+                let of = self.nodes[node].rpcs.get(rpc.0 as usize).and_then(Option::as_ref);
+                if known && of.is_some_and(|of| of.call == call) {
+                    self.called(node, rpc, outcome, began);
+                }
+            }
+            Event::Ran { node, life, rpc, good } => {
+                if self.nodes[node].life == life {
+                    self.ran(node, rpc, good);
+                }
+            }
+            Event::LetGo { node, life, pick } => {
+                let node = &mut self.nodes[node];
+                if let Some(pool) = node.pool.as_mut().filter(|_| node.life == life) {
+                    let app = *pool.key(&pick);
+                    node.apps[app].0 = node.apps[app].0.saturating_sub(1);
+                    pool.ended(Time(self.now), pick, End::Broken);
+                }
+            }
+            Event::Trouble(at, begins) => self.trouble(at, begins),
+            Event::Look => self.look(),
+            Event::Leave(node) => {
+                let stop = self.now + ticks(self.world.servers.stop_ms);
+                self.rules.notice(node, self.now + ticks(self.world.servers.grace_ms));
+                self.nodes[node].unlisted_from = self.now + self.list();
+                self.tell(node, |server, now, out| server.wind_down(now, Time(stop), out));
+                let life = self.nodes[node].life;
+                self.push(stop, Event::Stop(node, life));
+            }
+            Event::Stop(node, life) => {
+                if self.nodes[node].life == life {
+                    self.stop(node, false);
+                    self.boot(node, true);
+                }
+            }
+            Event::Return(node) => {
+                if self.nodes[node].server.is_none() {
+                    self.boot(node, true);
+                }
+            }
+            Event::End => {}
+        }
+    }
+
+    /// What is looked at ten times a second: levels, what cores and dependency could do, breakers that are not closed.
+    pub(super) fn look(&mut self) {
+        let now = self.now;
+        if now >= ORIGIN + ticks(self.world.seconds * 1000.0) {
+            return;
+        }
+        let mut could = 0.0;
+        let cores = match &self.world.applications {
+            Some(of) => of.all_cores(),
+            None => f64::from(self.world.servers.cores),
+        };
+        for at in 0..self.nodes.len() {
+            if self.nodes[at].server.is_none() {
+                continue;
+            }
+            let of_one = match self.world.applications {
+                Some(_) => {
+                    self.nodes[at].apps.iter().filter(|app| !app.1).count() as f64
+                        / self.nodes[at].apps.len() as f64
+                }
+                None => self.speed(at),
+            };
+            could += of_one * cores * LOOK as f64 / 10.0;
+            if self.nodes[at].levels.is_some() {
+                self.levels(at);
+            }
+        }
+        let mut calls = 0.0;
+        if let Some(of) = &self.world.dependency
+            && !self.hangs
+            && !self.dead
+        {
+            calls = of.capacity / (of.call_ms.mean() * self.slow_calls).max(0.1) * LOOK as f64 / 10.0;
+        }
+        let at = self.record.at(now - ORIGIN);
+        let slice = &mut self.record.slices[at];
+        slice.capacity += could;
+        slice.calls += calls;
+        slice.breakers = slice.breakers.max(self.shut);
+        slice.reduced = slice.reduced.max(self.reduced);
+        self.push(now + LOOK, Event::Look);
+    }
+
+    pub(super) fn trace(&mut self, what: u64) {
+        self.day.trace = (self.day.trace ^ what).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(23);
+    }
+
+    pub(super) fn end(mut self) -> (Day, Record) {
+        self.rules.end(self.now);
+        self.record.finish();
+        for request in self.requests.iter().flatten() {
+            let worth = self.world.methods[request.method].criticality;
+            self.record.part(request.method, Loss::Open, worth);
+        }
+        let ms = |quantile: f64| self.took.value_at_quantile(quantile) as f64 / 10.0;
+        if !self.took.is_empty() {
+            (self.day.p50_ms, self.day.p99_ms) = (ms(0.5), ms(0.99));
+        }
+        self.day.open = self.requests.iter().flatten().count() as u64;
+        self.day.kept = if self.asked > 0.0 { self.good / self.asked } else { 1.0 };
+        self.day.breaches = self.rules.count;
+        self.day.by_rule =
+            self.rules.by_rule.iter().map(|(rule, count)| (format!("{rule:?}"), *count)).collect();
+        self.day.told = self.rules.breaches.iter().map(ToString::to_string).collect();
+        (self.day, self.record)
+    }
+}
