--- a/crates/coralstep-server/tests/stand_ins/mod.rs
+++ b/crates/coralstep-server/tests/stand_ins/mod.rs
@@ -128,19 +128,27 @@
     }
 
     pub fn all(limits: &str, shell: &str, site: Option<&str>) -> Rig {
+        let site_file = if site.is_some() { " --site \"$1\"" } else { "" };
+        Rig::started(limits, &format!("{shell} exec \"$0\" serve{site_file}"), site)
+    }
+
+    /// `serve` is the whole of what the shell is told; the program is `$0`.
+    pub fn shell(serve: &str) -> Rig {
+        Rig::started("\"sockets\":1024", serve, None)
+    }
+
+    fn started(limits: &str, serve: &str, site: Option<&str>) -> Rig {
         let (engine, store, control) = (local(), local(), UdpSocket::bind("127.0.0.1:0").unwrap());
         control.set_read_timeout(Some(LIMIT)).unwrap();
         let port = engine.local_addr().unwrap().port();
         let folder = std::env::temp_dir().join(format!("coralstep-{}-{port}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         std::fs::write(folder.join("config.json"), config(&engine, &store, &control, limits)).unwrap();
-        let mut serve = format!("{shell} exec \"$0\" serve");
         if let Some(site) = site {
             std::fs::write(folder.join("site.json"), site).unwrap();
-            serve += " --site \"$1\"";
         }
         let mut child = Command::new("/bin/sh")
-            .args(["-c", &serve, env!("CARGO_BIN_EXE_coralstep")])
+            .args(["-c", serve, env!("CARGO_BIN_EXE_coralstep")])
             .arg(folder.join("site.json"))
             .env("RELAY_CONFIG", folder.join("config.json"))
             .stderr(Stdio::piped())
