--- /dev/null
+++ b/crates/coralstep-fleet/src/audit.rs
@@ -0,0 +1,249 @@
+//! Who acted on what. A server's own record is a chain: each entry holds the hash of the one before, so a changed or missing one shows.
+//! Of the others it keeps what they said of themselves, with its age; of a silent one it says since when nothing is known.
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Ms;
+use crate::versions::{Id, hash};
+use crate::words::{Heard, Word};
+
+/// Entries that are kept: the last of this server's, and of each other one.
+pub const OWN_KEPT: usize = 256;
+pub const OTHERS_KEPT: usize = 16;
+/// Servers whose rows are kept.
+pub const SERVERS_MOST: usize = 8_192;
+/// Who was not heard of for so long may act on anything.
+pub const KNOWN: Ms = 10_000;
+
+/// It acted on a version from when to when (hybrid clock, Unix milliseconds).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub number: u32,
+    pub version: Id,
+    pub from_ms: u64,
+    pub to_ms: u64,
+    pub rpcs: u64,
+    /// The hash of the entry before.
+    pub before: [u8; 12],
+}
+
+impl Entry {
+    fn sum(&self) -> [u8; 12] {
+        hash(&postcard::to_allocvec(self).unwrap_or_default())
+    }
+}
+
+/// A server's own record.
+#[derive(Default)]
+pub struct Chain {
+    entries: VecDeque<Entry>,
+    last: [u8; 12],
+    count: u32,
+}
+
+/// What is wrong with a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// An entry is missing before this one.
+    Gap(u32),
+    /// The entry before this one is not what it was.
+    Changed(u32),
+}
+
+impl Chain {
+    pub fn add(&mut self, version: Id, from_ms: u64, to_ms: u64, rpcs: u64) {
+        let entry = Entry { number: self.count, version, from_ms, to_ms, rpcs, before: self.last };
+        self.last = entry.sum();
+        self.count += 1;
+        if self.entries.len() == OWN_KEPT {
+            self.entries.pop_front();
+        }
+        self.entries.push_back(entry);
+    }
+
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter()
+    }
+
+    /// The end of the chain, for others to compare, and its length.
+    pub fn head(&self) -> ([u8; 8], u32) {
+        (std::array::from_fn(|at| self.last[at]), self.count)
+    }
+}
+
+/// Whether what is left of a record hangs together.
+pub fn verify<'a>(entries: impl Iterator<Item = &'a Entry>) -> Result<(), Broken> {
+    let mut before: Option<&Entry> = None;
+    for entry in entries {
+        if let Some(before) = before {
+            if entry.number != before.number + 1 {
+                return Err(Broken::Gap(entry.number));
+            }
+            if entry.before != before.sum() {
+                return Err(Broken::Changed(entry.number));
+            }
+        }
+        before = Some(entry);
+    }
+    Ok(())
+}
+
+/// A row of the audit.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Row {
+    pub server: String,
+    pub version: Id,
+    pub from_ms: u64,
+    /// None while it acts on it.
+    pub to_ms: Option<u64>,
+    pub rpcs: u64,
+    /// How old this knowledge is.
+    pub age_ms: u64,
+    /// False where the server has been silent for too long: what it has acted on since then nobody can say.
+    pub known: bool,
+}
+
+struct Seen {
+    version: Id,
+    from_ms: u64,
+    to_ms: Option<u64>,
+    rpcs: u64,
+}
+
+/// Rows of one process, and when it was last heard of.
+#[derive(Default)]
+struct Server {
+    rows: VecDeque<Seen>,
+    heard: Ms,
+    head: ([u8; 8], u32),
+}
+
+/// What the others said of themselves.
+#[derive(Default)]
+pub struct Others {
+    servers: BTreeMap<(String, SocketAddr, u64), Server>,
+}
+
+impl Others {
+    /// False where a server's record is shorter than it was, or another of the same length: it was changed.
+    pub fn heard(&mut self, at: Ms, word: &Word) -> bool {
+        let key = (word.of.name.clone(), word.of.at, word.of.started);
+        if !self.servers.contains_key(&key) && self.servers.len() >= SERVERS_MOST {
+            // Whoever was heard of last the longest ago makes room.
+            let oldest =
+                self.servers.iter().min_by_key(|(_, server)| server.heard).map(|(key, _)| key.clone());
+            oldest.map(|oldest| self.servers.remove(&oldest));
+        }
+        let server = self.servers.entry(key).or_default();
+        server.heard = server.heard.max(at);
+        let head = (word.chain, word.entries);
+        let sound = head.1 > server.head.1 || head == server.head;
+        server.head = head;
+        match server.rows.back_mut() {
+            Some(last) if last.version == word.acts_on && last.from_ms == word.since_ms => {
+                last.rpcs = word.rpcs
+            }
+            last => {
+                if let Some(last) = last {
+                    last.to_ms = Some(word.since_ms);
+                }
+                if server.rows.len() == OTHERS_KEPT {
+                    server.rows.pop_front();
+                }
+                server.rows.push_back(Seen {
+                    version: word.acts_on,
+                    from_ms: word.since_ms,
+                    to_ms: None,
+                    rpcs: word.rpcs,
+                });
+            }
+        }
+        sound
+    }
+
+    pub fn rows(&self, now: Ms) -> impl Iterator<Item = Row> {
+        self.servers.iter().flat_map(move |((name, _, _), server)| {
+            let age_ms = now.saturating_sub(server.heard);
+            server.rows.iter().map(move |seen| Row {
+                server: name.clone(),
+                version: seen.version,
+                from_ms: seen.from_ms,
+                to_ms: seen.to_ms,
+                rpcs: seen.rpcs,
+                age_ms,
+                known: seen.to_ms.is_some() || age_ms <= KNOWN,
+            })
+        })
+    }
+}
+
+/// What an audit is asked for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Filter {
+    pub version: Option<Id>,
+    pub server: Option<String>,
+    /// Unix milliseconds.
+    pub at_ms: Option<u64>,
+}
+
+impl Filter {
+    pub fn takes(&self, row: &Row) -> bool {
+        // A version may be named by its number alone.
+        let version = |id: Id| row.version == id || (id.hash == [0; 12] && id.number == row.version.number);
+        self.version.is_none_or(version)
+            && self.server.as_ref().is_none_or(|server| *server == row.server)
+            && self.at_ms.is_none_or(|at| row.from_ms <= at && row.to_ms.is_none_or(|to| at < to))
+    }
+}
+
+/// The latest of what is known of a server that was heard of.
+pub fn is_known(now: Ms, heard: &Heard) -> bool {
+    now.saturating_sub(heard.at) <= KNOWN
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::words::tests::word;
+
+    #[test]
+    fn a_gap_and_a_changed_entry_are_told() {
+        let mut chain = Chain::default();
+        for number in 0..4 {
+            chain.add(Id { number, ..Id::default() }, number * 10, number * 10 + 10, number);
+        }
+        let entries: Vec<Entry> = chain.entries().cloned().collect();
+        assert_eq!(verify(entries.iter()), Ok(()));
+        let mut changed = entries.clone();
+        changed[1].rpcs += 1;
+        assert_eq!(verify(changed.iter()), Err(Broken::Changed(2)));
+        let mut gap = entries;
+        gap.remove(2);
+        assert_eq!(verify(gap.iter()), Err(Broken::Gap(3)));
+    }
+
+    #[test]
+    fn rows_are_closed_by_the_servers_own_word_and_silence_is_no_guess() {
+        let mut others = Others::default();
+        let mut first = word("a", 1, 1);
+        (first.acts_on.number, first.since_ms, first.rpcs) = (1, 1_000, 5);
+        assert!(others.heard(0, &first));
+        let mut next = first.clone();
+        (next.acts_on.number, next.since_ms, next.rpcs) = (2, 3_000, 0);
+        (next.entries, next.chain) = (1, [1; 8]);
+        assert!(others.heard(500, &next));
+        let rows: Vec<Row> = others.rows(600).collect();
+        assert_eq!((rows[0].to_ms, rows[0].rpcs, rows[0].known), (Some(3_000), 5, true));
+        assert_eq!((rows[1].to_ms, rows[1].age_ms, rows[1].known), (None, 100, true));
+        let late: Vec<Row> = others.rows(500 + KNOWN + 1).collect();
+        assert!(late[0].known && !late[1].known);
+        let at = |at_ms| Filter { at_ms: Some(at_ms), ..Filter::default() };
+        assert!(at(2_999).takes(&rows[0]) && !at(3_000).takes(&rows[0]) && at(3_000).takes(&rows[1]));
+        // Its record is another one of the same length.
+        let mut forged = next.clone();
+        forged.chain = [2; 8];
+        assert!(!others.heard(700, &forged));
+    }
+}
--- /dev/null
+++ b/crates/coralstep-fleet/tests/virtual_time.rs
@@ -0,0 +1,508 @@
+//! Fleets in virtual time, on the real decisions: datagrams are lost, late, doubled and changed by chance from a seed, servers are cut off,
+//! paused, killed and started again. The long ones are run by hand:
+//!
+//!     cargo test --release -p coralstep-fleet --test virtual_time -- --ignored --nocapture
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use coralstep_fleet::audit::Filter;
+use coralstep_fleet::members::State;
+use coralstep_fleet::{Event, Fleet, FleetTerms, Id, Member, Shut};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Between two ticks, as the carrier makes them.
+const TICK: u64 = 50;
+const WALL: u64 = 1_700_000_000_000;
+
+#[derive(Clone, Copy)]
+struct Faults {
+    loss: f64,
+    delay: (u64, u64),
+    doubled: f64,
+    garbled: f64,
+}
+
+const CALM: Faults = Faults { loss: 0.0, delay: (0, 2), doubled: 0.0, garbled: 0.0 };
+const ROUGH: Faults = Faults { loss: 0.3, delay: (100, 500), doubled: 0.1, garbled: 0.05 };
+
+struct Server {
+    fleet: Fleet,
+    /// Its wall clock is off by that.
+    off: i64,
+    paused: bool,
+    /// RPCs decided so far, and of these those that got their result.
+    counts: (u64, u64),
+    events: Vec<(u64, Event)>,
+    /// What it would turn down.
+    rejects: bool,
+}
+
+struct World {
+    now: u64,
+    chance: SmallRng,
+    faults: Faults,
+    servers: BTreeMap<usize, Server>,
+    /// Datagrams on their way: when they come, a number, to whom, what.
+    way: BTreeMap<(u64, u64), (usize, Vec<u8>)>,
+    sent: u64,
+    bytes: u64,
+    /// Who can't reach whom.
+    cut: BTreeSet<(usize, usize)>,
+    seeds: Vec<SocketAddr>,
+    terms: (u64, u64, bool),
+}
+
+fn at(server: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, (server / 250) as u8, (server % 250) as u8 + 1], 7946))
+}
+
+impl World {
+    fn new(count: usize, faults: Faults, seed: u64) -> World {
+        let mut world = World {
+            now: 1_000,
+            chance: SmallRng::seed_from_u64(seed),
+            faults,
+            servers: BTreeMap::new(),
+            way: BTreeMap::new(),
+            sent: 0,
+            bytes: 0,
+            cut: BTreeSet::new(),
+            seeds: (0..count.min(3)).map(at).collect(),
+            terms: (8_000, 8_000, false),
+        };
+        (0..count).for_each(|server| world.start(server));
+        world
+    }
+
+    fn start(&mut self, server: usize) {
+        let own = Member::new(&format!("n{server}"), at(server), WALL + self.now);
+        let (behind, silent, silent_shuts) = self.terms;
+        let seed = self.chance.random();
+        let peers = self.seeds.clone();
+        let terms = FleetTerms { name: "alps".to_owned(), own, peers, behind, silent, silent_shuts, seed };
+        let fleet = Fleet::new(terms, self.now, WALL + self.now);
+        let server_ =
+            Server { fleet, off: 0, paused: false, counts: (0, 0), events: Vec::new(), rejects: false };
+        self.servers.insert(server, server_);
+    }
+
+    fn cut(
+        &mut self,
+        from: impl IntoIterator<Item = usize> + Clone,
+        to: impl IntoIterator<Item = usize> + Clone,
+    ) {
+        for from in from {
+            self.cut.extend(to.clone().into_iter().map(|to| (from, to)));
+        }
+    }
+
+    fn wall(now: u64, server: &Server) -> u64 {
+        (WALL + now).saturating_add_signed(server.off)
+    }
+
+    /// So much time passes.
+    fn pass(&mut self, ms: u64) {
+        let until = self.now + ms;
+        while self.now < until {
+            self.now += TICK;
+            while let Some(entry) = self.way.first_entry().filter(|entry| entry.key().0 <= self.now) {
+                let (to, bytes) = entry.remove();
+                if let Some(server) = self.servers.get_mut(&to).filter(|server| !server.paused) {
+                    let wall = World::wall(self.now, server);
+                    let _ = server.fleet.heard(self.now, wall, &bytes);
+                }
+            }
+            let mut out = Vec::new();
+            for (number, server) in self.servers.iter_mut().filter(|(_, server)| !server.paused) {
+                let wall = World::wall(self.now, server);
+                server.fleet.tick(self.now, wall, server.counts);
+                if let Some((id, version)) = server.fleet.pending(self.now) {
+                    match server.rejects || version.content.contains("bad") {
+                        true => server.fleet.turned_down(self.now, id, "it would starve a method"),
+                        false => server.fleet.took(self.now, wall, id),
+                    }
+                }
+                server.events.extend(server.fleet.events().into_iter().map(|event| (self.now, event)));
+                out.extend(server.fleet.send().into_iter().map(|(to, bytes)| (*number, to, bytes)));
+            }
+            for (from, to, bytes) in out {
+                self.send(from, to, bytes);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
+        assert!(bytes.len() <= 1_400, "{} bytes", bytes.len());
+        let SocketAddr::V4(v4) = to else { return };
+        let [.., high, low] = v4.ip().octets();
+        let to = usize::from(high) * 250 + usize::from(low) - 1;
+        self.bytes += bytes.len() as u64;
+        if self.cut.contains(&(from, to)) || self.chance.random_bool(self.faults.loss) {
+            return;
+        }
+        let copies = if self.chance.random_bool(self.faults.doubled) { 2 } else { 1 };
+        for _ in 0..copies {
+            let mut bytes = bytes.clone();
+            if self.chance.random_bool(self.faults.garbled) {
+                let place = self.chance.random_range(0..bytes.len());
+                bytes[place] ^= 1 << self.chance.random_range(0..8);
+            }
+            let (least, most) = self.faults.delay;
+            let delay = self.chance.random_range(least..=most);
+            self.sent += 1;
+            self.way.insert((self.now + delay, self.sent), (to, bytes));
+        }
+    }
+
+    fn publish(&mut self, server: usize, content: &str, must: bool, waves: Vec<f32>, pause_ms: u64) -> Id {
+        let (now, wall) = (self.now, World::wall(self.now, &self.servers[&server]));
+        let fleet = &mut self.servers.get_mut(&server).unwrap().fleet;
+        fleet.publish(now, wall, content.to_owned(), must, waves, pause_ms).unwrap()
+    }
+
+    fn on(&self, id: Id) -> usize {
+        self.servers.values().filter(|server| server.fleet.acts_on() == id).count()
+    }
+
+    /// Time until all act on `id`, at most so long.
+    fn until_all_on(&mut self, id: Id, most: u64) -> u64 {
+        let start = self.now;
+        while self.on(id) < self.servers.len() {
+            let on: Vec<_> =
+                self.servers.iter().map(|(at, server)| (at, server.fleet.acts_on().number)).collect();
+            assert!(self.now - start < most, "{} of {} on {id}: {on:?}", self.on(id), self.servers.len());
+            self.pass(TICK);
+        }
+        self.now - start
+    }
+
+    fn alive(&self, server: usize) -> usize {
+        let members = self.servers[&server].fleet.members(self.now);
+        members.iter().filter(|(_, state, ..)| matches!(state, State::Alive)).count()
+    }
+
+    fn has(&self, server: usize, what: impl Fn(&Event) -> bool) -> bool {
+        self.servers[&server].events.iter().any(|(_, event)| what(event))
+    }
+}
+
+#[test]
+fn all_meet_and_a_version_reaches_all() {
+    let mut world = World::new(7, CALM, 1);
+    world.pass(4_000);
+    assert!((0..7).all(|server| world.alive(server) == 7));
+    let id = world.publish(3, "{}", false, Vec::new(), 0);
+    let took = world.until_all_on(id, 5_000);
+    assert!(took <= 4_000, "{took} ms");
+    world.pass(3_000);
+    // Any server answers for all.
+    for server in world.servers.values() {
+        let rows = server.fleet.audit(world.now, &Filter { version: Some(id), ..Filter::default() });
+        assert_eq!(rows.iter().filter(|row| row.known && row.to_ms.is_none()).count(), 7);
+        let before =
+            server.fleet.audit(world.now, &Filter { at_ms: Some(WALL + 1_500), ..Filter::default() });
+        assert!(before.iter().all(|row| row.version == Id::default()), "{before:?}");
+    }
+}
+
+#[test]
+fn it_comes_through_loss_delay_doubling_and_garbling() {
+    let mut world = World::new(7, ROUGH, 2);
+    world.pass(20_000);
+    let id = world.publish(0, &"x".repeat(20_000), false, Vec::new(), 0);
+    world.until_all_on(id, 60_000);
+    let next = world.publish(6, "{}", false, Vec::new(), 0);
+    world.until_all_on(next, 60_000);
+    assert!(next > id);
+}
+
+#[test]
+fn two_operators_on_two_sides_of_a_cut_give_a_fork_that_all_resolve_alike() {
+    let mut world = World::new(6, CALM, 3);
+    world.pass(4_000);
+    let first = world.publish(0, "{}", false, Vec::new(), 0);
+    world.until_all_on(first, 5_000);
+    world.cut(0..3, 3..6);
+    world.cut(3..6, 0..3);
+    world.pass(3_000);
+    let left = world.publish(0, "{\"left\":1}", false, Vec::new(), 0);
+    let right = world.publish(5, "{\"right\":1}", false, Vec::new(), 0);
+    world.pass(15_000);
+    assert_eq!((world.on(left), world.on(right)), (3, 3));
+    world.cut.clear();
+    world.until_all_on(left.max(right), 60_000);
+    let forked = |event: &Event| *event == Event::Fork(left.min(right), left.max(right));
+    assert!((0..6).any(|server| world.has(server, forked)));
+    // The audit shows for good who acted on which.
+    let rows = world.servers[&0]
+        .fleet
+        .audit(world.now, &Filter { version: Some(left.min(right)), ..Filter::default() });
+    assert!(rows.len() >= 3, "{rows:?}");
+}
+
+#[test]
+fn a_publisher_killed_in_the_middle_leaves_no_half_and_nobody_behind_what_nobody_has() {
+    for seed in 0..20 {
+        let mut world = World::new(5, CALM, 100 + seed);
+        world.pass(4_000);
+        let first = world.publish(1, "{}", false, Vec::new(), 0);
+        world.until_all_on(first, 5_000);
+        let id = world.publish(0, &"y".repeat(60_000), false, Vec::new(), 0);
+        world.pass(50 * (1 + seed));
+        world.servers.remove(&0);
+        world.pass(40_000);
+        let on = world.on(id);
+        assert!(on == 0 || on == 4, "{on} of 4 after {} ms", 50 * (1 + seed));
+        assert!(world.servers.values().all(|server| server.fleet.shut().is_none()), "nobody is behind");
+        // And it goes on.
+        let next = world.publish(2, "{\"next\":1}", false, Vec::new(), 0);
+        world.until_all_on(next, 10_000);
+    }
+}
+
+#[test]
+fn who_was_paused_admits_nothing_until_it_has_heard_and_comes_up() {
+    let mut world = World::new(5, CALM, 5);
+    world.pass(4_000);
+    let first = world.publish(0, "{}", false, Vec::new(), 0);
+    world.until_all_on(first, 5_000);
+    world.servers.get_mut(&4).unwrap().paused = true;
+    world.pass(8_000);
+    world.publish(0, "{\"two\":1}", false, Vec::new(), 0);
+    world.pass(2_000);
+    let third = world.publish(1, "{\"three\":1}", false, Vec::new(), 0);
+    world.pass(2_000);
+    world.servers.get_mut(&4).unwrap().paused = false;
+    world.pass(TICK);
+    assert_eq!(
+        world.servers[&4].fleet.shut(),
+        Some(&Shut::Paused),
+        "with its first tick, before anything is admitted"
+    );
+    world.until_all_on(third, 15_000);
+    world.pass(RESUMED);
+    assert_eq!(world.servers[&4].fleet.shut(), None);
+}
+
+const RESUMED: u64 = 4_000;
+
+#[test]
+fn one_that_turns_down_what_must_be_acted_on_is_shut_out_and_a_bad_version_stops_the_wave() {
+    let mut world = World::new(5, CALM, 6);
+    world.pass(4_000);
+    world.servers.get_mut(&2).unwrap().rejects = true;
+    let id = world.publish(0, "{}", true, Vec::new(), 0);
+    world.pass(6_000);
+    assert_eq!(world.on(id), 4);
+    assert_eq!(world.servers[&2].fleet.shut(), Some(&Shut::TurnedDown(id)));
+    assert!(
+        world.servers[&0].fleet.current().all(|member| member.name != "n2"),
+        "others take nothing from it"
+    );
+    // Going back is a new version, and lets it in.
+    world.servers.get_mut(&2).unwrap().rejects = false;
+    let back = world.publish(0, "{\"back\":1}", true, Vec::new(), 0);
+    world.until_all_on(back, 10_000);
+    world.pass(1_000);
+    assert_eq!(world.servers[&2].fleet.shut(), None);
+    // All turn it down: the version is at fault, not the fleet.
+    let bad = world.publish(0, "bad", true, vec![0.4, 1.0], 3_000);
+    world.pass(20_000);
+    assert_eq!((world.on(bad), world.on(back)), (0, 5));
+    let shut = world.servers.values().filter(|server| server.fleet.shut().is_some()).count();
+    assert!(shut <= 1, "{shut} of 5 are shut out");
+    assert!(
+        (0..5).any(|server| world.has(server, |event| matches!(event, Event::Stopped(id, _) if *id == bad)))
+    );
+}
+
+#[test]
+fn a_wave_that_does_worse_goes_no_further() {
+    let mut world = World::new(8, CALM, 7);
+    world.pass(5_000);
+    let first = world.publish(0, "{}", false, Vec::new(), 0);
+    world.until_all_on(first, 5_000);
+    world.servers.values_mut().for_each(|server| server.counts = (1_000, 990));
+    world.pass(2_000);
+    let waved = world.publish(0, "{\"slow\":1}", false, vec![0.4, 1.0], 8_000);
+    let mut early = 0;
+    for _ in 0..60 {
+        world.pass(100);
+        let on: Vec<usize> = (0..8).filter(|at| world.servers[at].fleet.acts_on() == waved).collect();
+        early = on.len();
+        for at in on {
+            let server = world.servers.get_mut(&at).unwrap();
+            // Half of its RPCs fail.
+            server.counts = (server.counts.0 + 20, server.counts.1 + 10);
+        }
+        for server in world.servers.values_mut().filter(|server| server.fleet.acts_on() != waved) {
+            server.counts = (server.counts.0 + 20, server.counts.1 + 20);
+        }
+    }
+    assert!((1..8).contains(&early), "{early} in the first wave");
+    world.pass(20_000);
+    assert_eq!(world.on(waved), early);
+    let stopped =
+        |event: &Event| matches!(event, Event::Stopped(id, why) if *id == waved && why.contains("ok"));
+    assert!((0..8).any(|server| world.has(server, stopped)));
+    assert!(
+        world.servers.values().all(|server| server.fleet.shut().is_none()),
+        "who waits for its wave is not behind"
+    );
+}
+
+#[test]
+fn a_clock_an_hour_off_and_one_set_back_change_nobodys_order() {
+    let mut world = World::new(5, CALM, 8);
+    world.servers.get_mut(&1).unwrap().off = 3_600_000;
+    world.servers.get_mut(&2).unwrap().off = -3_600_000;
+    world.pass(4_000);
+    let first = world.publish(0, "{}", false, Vec::new(), 0);
+    world.until_all_on(first, 8_000);
+    assert!(world.has(0, |event| *event == Event::ClockOff("n1".to_owned())));
+    world.servers.get_mut(&0).unwrap().off = -600_000;
+    let second = world.publish(3, "{\"two\":1}", false, Vec::new(), 0);
+    world.until_all_on(second, 8_000);
+    world.pass(2_000);
+    for server in world.servers.values() {
+        for row in server.fleet.audit(world.now, &Filter::default()) {
+            assert!(row.to_ms.is_none_or(|to| to >= row.from_ms), "{row:?}");
+        }
+    }
+}
+
+#[test]
+fn restarts_twins_and_leavers_are_told_apart() {
+    let mut world = World::new(5, CALM, 9);
+    world.pass(4_000);
+    // Killed and started again, under the same name.
+    world.servers.remove(&4);
+    world.pass(1_000);
+    world.start(4);
+    world.pass(6_000);
+    assert_eq!(world.alive(0), 5);
+    // A second process under a name that another holds.
+    let own = Member::new("n1", at(7), WALL + world.now);
+    let terms = FleetTerms {
+        name: "alps".to_owned(),
+        own,
+        peers: vec![at(0)],
+        behind: 8_000,
+        silent: 8_000,
+        silent_shuts: false,
+        seed: 77,
+    };
+    let fleet = Fleet::new(terms, world.now, WALL + world.now);
+    let twin = Server { fleet, off: 0, paused: false, counts: (0, 0), events: Vec::new(), rejects: false };
+    world.servers.insert(7, twin);
+    world.pass(6_000);
+    assert!((0..5).any(|server| world.has(server, |event| matches!(event, Event::NameHeld(..)))));
+    // One that leaves says so.
+    let now = world.now;
+    world.servers.get_mut(&3).unwrap().fleet.leave(now, WALL + now);
+    world.pass(2_000);
+    world.servers.remove(&3);
+    world.pass(500);
+    let members = world.servers[&0].fleet.members(world.now);
+    assert!(
+        members.iter().any(|(member, state, ..)| member.name == "n3" && *state == State::Leaving),
+        "{members:?}"
+    );
+}
+
+#[test]
+fn one_cut_off_serves_or_is_shut_out_as_its_operator_chose() {
+    for shuts in [false, true] {
+        let mut world = World::new(4, CALM, 10);
+        world.terms.2 = shuts;
+        world.start(3);
+        world.pass(5_000);
+        world.cut([3], 0..3);
+        world.cut(0..3, [3]);
+        world.pass(40_000);
+        assert_eq!(world.servers[&3].fleet.shut(), shuts.then_some(&Shut::Silent));
+        assert_eq!(world.servers[&0].fleet.shut(), None);
+        let rows = world.servers[&0]
+            .fleet
+            .audit(world.now, &Filter { server: Some("n3".to_owned()), ..Filter::default() });
+        assert!(rows.iter().any(|row| !row.known), "nobody knows what it acts on: {rows:?}");
+        world.cut.clear();
+        world.pass(20_000);
+        assert_eq!(world.servers[&3].fleet.shut(), None);
+        assert_eq!(world.alive(0), 4);
+    }
+}
+
+/// Time until all, and half, are on a version; bytes a second and server.
+fn spread(count: usize, faults: Faults, seed: u64) -> (u64, u64, u64) {
+    let mut world = World::new(count, faults, seed);
+    world.pass(30_000);
+    let (start, bytes) = (world.now, world.bytes);
+    let id = world.publish(count / 2, &"z".repeat(4_000), false, Vec::new(), 0);
+    let mut half = 0;
+    while world.on(id) < count {
+        world.pass(TICK);
+        if half == 0 && world.on(id) * 2 >= count {
+            half = world.now - start;
+        }
+        assert!(world.now - start < 300_000, "{} of {count}", world.on(id));
+    }
+    let all = world.now - start;
+    world.pass(10_000);
+    (half, all, (world.bytes - bytes) * 1_000 / (world.now - start) / count as u64)
+}
+
+#[test]
+#[ignore = "minutes; figures for docs/fleet.md"]
+fn by_hand_how_fast_a_version_spreads() {
+    for (count, faults, name) in [
+        (30, CALM, "calm"),
+        (100, CALM, "calm"),
+        (300, CALM, "calm"),
+        (100, ROUGH, "rough"),
+        (300, ROUGH, "rough"),
+    ] {
+        let (half, all, bytes) = spread(count, faults, 1);
+        println!(
+            "{count} {name}: half after {half} ms, all after {all} ms, {bytes} bytes a second and server"
+        );
+    }
+}
+
+#[test]
+#[ignore = "minutes: a thousand seeds of cuts, pauses and kills"]
+fn by_hand_a_thousand_seeds_come_free() {
+    for seed in 0..1_000 {
+        let mut world = World::new(7, ROUGH, seed);
+        world.pass(10_000);
+        for _ in 0..6 {
+            let one = world.chance.random_range(0..7);
+            match world.chance.random_range(0..4) {
+                0 => {
+                    let part = world.chance.random_range(1..6);
+                    world.cut(0..part, part..7);
+                    world.cut(part..7, 0..part);
+                }
+                1 => world.servers.get_mut(&one).unwrap().paused ^= true,
+                2 => world.start(one),
+                _ => drop(world.publish(one, &format!("{{\"{seed}\":1}}"), false, Vec::new(), 0)),
+            }
+            let pause = world.chance.random_range(500..6_000);
+            world.pass(pause);
+        }
+        world.cut.clear();
+        world.servers.values_mut().for_each(|server| server.paused = false);
+        world.pass(5_000);
+        let id = world.publish(0, "{\"last\":1}", false, Vec::new(), 0);
+        let newest =
+            world.servers.values().map(|server| server.fleet.versions().newest()).max().unwrap().max(id);
+        let start = world.now;
+        while world.on(newest) < 7 {
+            world.pass(500);
+            assert!(world.now - start < 180_000, "seed {seed}");
+        }
+        world.pass(10_000);
+        assert!(world.servers.values().all(|server| server.fleet.shut().is_none()), "seed {seed}");
+    }
+}
