--- a/crates/coralstep-fleet/src/envelope.rs
+++ b/crates/coralstep-fleet/src/envelope.rs
@@ -28,6 +28,9 @@
     pub from: Member,
     /// The sender's hybrid clock, in Unix milliseconds.
     pub stamp_ms: u64,
+    /// Rises with each datagram of the sender's; and the last of the addressee's that it has heard: proof of when this was said.
+    pub number: u64,
+    pub echo: u64,
     pub parts: Vec<(Rider, Vec<u8>)>,
 }
 
@@ -46,7 +49,7 @@
 
 impl Datagram {
     pub fn new(fleet: u32, from: Member, stamp_ms: u64) -> Datagram {
-        Datagram { format: FORMAT, fleet, from, stamp_ms, parts: Vec::new() }
+        Datagram { format: FORMAT, fleet, from, stamp_ms, number: 0, echo: 0, parts: Vec::new() }
     }
 
     /// Bytes with their checksum behind them.
--- a/crates/coralstep-fleet/src/fleet.rs
+++ b/crates/coralstep-fleet/src/fleet.rs
@@ -1,5 +1,6 @@
 //! One server's part in its fleet: members, riders, the version it acts on, and whether it is shut out. What it leads to (datagrams,
 //! events) is kept until it is fetched.
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use rand::rngs::SmallRng;
@@ -12,7 +13,7 @@
 use crate::envelope::{self, Datagram, Fault, Rider, SENT_MOST};
 use crate::members::{Change, Member, Members, State};
 use crate::versions::{Id, Letter, Version, Versions, worse};
-use crate::words::{OWN, Word, Words};
+use crate::words::{OWN, SOURCES_MOST, Word, Words};
 
 /// Part of the fleet that may be shut out at once for being behind; beyond it the version or the network is at fault.
 pub const SHUT_MOST: f64 = 0.3;
@@ -22,6 +23,8 @@
 pub const RESUME: Ms = 3_000;
 /// Who would shut itself out says so first, and waits so long to hear who else would: then the same few go, whoever reckons.
 const SAID: Ms = 2_000;
+/// Advice of a server that is shut out and can't tell for how long.
+const AWAY: Ms = 5_000;
 /// Letters that wait to be sent, and events to be fetched.
 const QUEUE_MOST: usize = 1_024;
 /// Bytes of a datagram that are not parts.
@@ -119,8 +122,13 @@
     wants_out: Option<Ms>,
     /// Since when it hears nobody.
     alone: Ms,
-    /// Since when it goes on after a pause, until it has heard from the others.
-    resumed: Option<Ms>,
+    /// Since when it goes on after a pause, and its first datagram from then on: what doesn't echo that may have been said before.
+    resumed: Option<(Ms, u64)>,
+    /// Since when it has heard again: what it hears of then is fetched before anything is admitted, if that comes soon.
+    caught_up: Option<Ms>,
+    /// Datagrams sent, and the last of each sender's that was heard.
+    spoken: u64,
+    echoes: HashMap<SocketAddr, u64>,
     ticked: Option<Ms>,
     own_due: Ms,
     stopped: Option<Id>,
@@ -151,6 +159,9 @@
             wants_out: None,
             alone: now,
             resumed: None,
+            caught_up: None,
+            spoken: 0,
+            echoes: HashMap::new(),
             ticked: None,
             own_due: now,
             stopped: None,
@@ -181,17 +192,23 @@
             self.clock_off.push(datagram.from.name.clone());
             self.event(Event::ClockOff(datagram.from.name.clone()));
         }
+        if self.echoes.len() >= SOURCES_MOST {
+            self.echoes.clear();
+        }
+        self.echoes.insert(datagram.from.at, datagram.number);
         for (rider, bytes) in &datagram.parts {
             match rider {
                 Rider::Members => self.members.heard(now, bytes),
-                Rider::Words => self.words_heard(now, &datagram.from, bytes),
+                Rider::Words => self.words_heard(now, &datagram, bytes),
                 Rider::Versions => {
                     let Ok(letter) = postcard::from_bytes::<Letter>(bytes) else {
                         return Err(Fault::Garbled);
                     };
                     let forks = self.versions.forks().len();
                     let (answers, whole) = self.versions.heard(now, letter);
-                    whole.map(|id| self.event(Event::Held(id)));
+                    if let Some(id) = whole {
+                        self.event(Event::Held(id))
+                    }
                     if let Some((a, b)) = self.versions.forks().get(forks).copied() {
                         self.event(Event::Fork(a, b));
                     }
@@ -203,12 +220,14 @@
         Ok(())
     }
 
-    fn words_heard(&mut self, now: Ms, from: &Member, bytes: &[u8]) {
+    fn words_heard(&mut self, now: Ms, datagram: &Datagram, bytes: &[u8]) {
         let own = self.members.own().clone();
         for word in self.words.heard(now, &own, bytes) {
-            // Its own mouth counts: what was passed on may have been said before the pause.
-            if word.of == *from && word.knows >= self.acting.id {
+            // Guards against words from before a pause, which lay in the socket meanwhile: the sender's own word counts, and only in answer
+            // to what was said since.
+            if self.resumed.is_some_and(|(_, first)| datagram.echo >= first) && word.of == datagram.from {
                 self.resumed = None;
+                self.caught_up = Some(now);
             }
             let at = self.words.of(&word.of).map_or(now, |heard| heard.at);
             if !self.others.heard(at, &word) {
@@ -219,8 +238,16 @@
         }
     }
 
-    fn letter(&mut self, wall_ms: u64, to: SocketAddr, letter: &Letter) {
+    /// A datagram to `to`, without parts yet.
+    fn datagram(&mut self, wall_ms: u64, to: SocketAddr) -> Datagram {
         let mut datagram = Datagram::new(self.fleet, self.members.own().clone(), self.clock.stamp(wall_ms));
+        self.spoken += 1;
+        (datagram.number, datagram.echo) = (self.spoken, self.echoes.get(&to).copied().unwrap_or(0));
+        datagram
+    }
+
+    fn letter(&mut self, wall_ms: u64, to: SocketAddr, letter: &Letter) {
+        let mut datagram = self.datagram(wall_ms, to);
         datagram.parts.push((Rider::Versions, postcard::to_allocvec(letter).unwrap_or_default()));
         if self.send.len() < QUEUE_MOST {
             self.send.push((to, datagram.bytes()));
@@ -230,8 +257,7 @@
     /// What the members want sent goes out, with words in the room that is left.
     fn collect(&mut self, wall_ms: u64, now: Ms) {
         for (to, bytes) in self.members.send() {
-            let mut datagram =
-                Datagram::new(self.fleet, self.members.own().clone(), self.clock.stamp(wall_ms));
+            let mut datagram = self.datagram(wall_ms, to.at);
             let room = SENT_MOST.saturating_sub(HEAD + bytes.len());
             datagram.parts.push((Rider::Members, bytes));
             datagram.parts.extend(self.words.said(now, room).map(|words| (Rider::Words, words)));
@@ -268,7 +294,7 @@
             self.ticked = Some(now);
             self.event(Event::Paused(gap));
             if self.members.count() > 0 {
-                self.resumed = Some(now);
+                self.resumed = Some((now, self.spoken + 1));
                 self.judge(now);
             }
         }
@@ -320,6 +346,7 @@
             since_ms: self.acting.since_ms,
             rpcs,
             ok,
+            before: self.chain.last(),
             knows,
             turned_down,
             chain,
@@ -345,6 +372,12 @@
                 .unwrap_or(0);
             self.behind = Some((target, now + due + self.terms.behind));
         }
+        // What it hears of after a pause comes first; a wave that is still to come is nothing to wait for.
+        let fetches = self.caught_up.is_some_and(|since| now < since + RESUME) && target > self.acting.id;
+        let waits = self.versions.since(target).is_some_and(|since| {
+            let due = self.versions.held(target).and_then(|version| version.due_ms(&self.terms.own.name));
+            self.stopped == Some(target) || due.is_none_or(|due| now < since + due)
+        });
         let behind = self.behind.filter(|(_, until)| now >= *until).map(|(id, _)| Shut::Behind(id));
         let out = (must && turned_down).then_some(Shut::TurnedDown(newest)).or(behind);
         if out.is_some() != self.wants_out.is_some() {
@@ -354,7 +387,8 @@
         let out = out.filter(|_| self.may_shut(now, newest));
         let cause = match () {
             () if self.by_hand => Some(Shut::ByHand),
-            () if self.resumed.is_some_and(|resumed| now < resumed + RESUME) => Some(Shut::Paused),
+            () if self.resumed.is_some_and(|(resumed, _)| now < resumed + RESUME) => Some(Shut::Paused),
+            () if fetches && !waits => Some(Shut::Paused),
             () if out.is_some() => out,
             () if self.terms.silent_shuts && now.saturating_sub(self.alone) > self.terms.silent => {
                 Some(Shut::Silent)
@@ -482,6 +516,18 @@
         self.collect(wall_ms, now);
     }
 
+    /// How long those that are turned away should stay away; none while this server admits. To be asked before each RPC: a pause of the
+    /// process is seen here first.
+    pub fn back(&mut self, now: Ms) -> Option<Ms> {
+        self.paused(now);
+        let left = self.resumed.map_or(0, |(resumed, _)| (resumed + RESUME).saturating_sub(now));
+        match self.shut.as_ref()? {
+            Shut::Paused => Some(left.max(1)),
+            // Nobody knows when: another look is worth while after a few rounds of words.
+            _ => Some(AWAY),
+        }
+    }
+
     pub fn send(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
         std::mem::take(&mut self.send)
     }
--- a/crates/coralstep-fleet/src/versions.rs
+++ b/crates/coralstep-fleet/src/versions.rs
@@ -406,8 +406,8 @@
         let mut other = Versions::default();
         other.heard_of(id);
         let spoilt = |count: usize, letter| match letter {
-            _ if count % 3 == 0 => None,
-            Letter::Piece { id, bytes, at, mut piece } if count % 7 == 0 && count < 40 => {
+            _ if count.is_multiple_of(3) => None,
+            Letter::Piece { id, bytes, at, mut piece } if count.is_multiple_of(7) && count < 40 => {
                 piece[0] ^= 1;
                 Some(Letter::Piece { id, bytes, at, piece })
             }
--- a/crates/coralstep-fleet/src/words.rs
+++ b/crates/coralstep-fleet/src/words.rs
@@ -20,6 +20,15 @@
 /// A word that is said to be older than that tells nothing new.
 const AGE_MOST: u32 = FORGET as u32;
 
+/// A version that a server acted on, from when to when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Past {
+    pub version: Id,
+    pub from_ms: u64,
+    pub to_ms: u64,
+    pub rpcs: u64,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Word {
     pub of: Member,
@@ -36,7 +45,9 @@
     /// RPCs decided under it, and of these those that got their result.
     pub rpcs: u64,
     pub ok: u64,
-    /// The newest version it has heard of.
+    /// What it acted on before that, as it stands in its record.
+    pub before: Option<Past>,
+    /// The newest version it holds.
     pub knows: Id,
     /// What it would not take, and why.
     pub turned_down: Option<(Id, String)>,
@@ -150,6 +161,7 @@
             since_ms: 0,
             rpcs: 0,
             ok: 0,
+            before: None,
             knows: Id::default(),
             turned_down: None,
             chain: [0; 8],
--- a/crates/coralstep-lab/src/emulate/mod.rs
+++ b/crates/coralstep-lab/src/emulate/mod.rs
@@ -41,7 +41,7 @@
 /// Runs on the cores may be more than survived for a moment before the engine's reading of it counts.
 const CROWD_EVERY: u64 = 200;
 
-fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+pub fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
     of.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
--- /dev/null
+++ b/crates/coralstep-lab/src/fleet/mod.rs
@@ -0,0 +1,7 @@
+//! Several real processes of `coralstep` that hear each other, with a relay on every link between any two of them: what is lost, late,
+//! doubled, changed or cut is the play's to say. Engines and control plane are stand-ins; all that was started ends with the play.
+pub mod links;
+pub mod processes;
+
+pub use links::{Fault, Links};
+pub use processes::{Fleet, Told};
--- /dev/null
+++ b/crates/coralstep-lab/src/fleet/processes.rs
@@ -0,0 +1,314 @@
+//! The processes of a play: started, stopped, continued, killed, asked. What they say of themselves comes by the operators' door and the
+//! log; what callers were told is the play's own.
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::Links;
+use crate::emulate::engine::{Engine, EngineTerms, Plight, Work};
+use crate::emulate::lock;
+
+/// The longest that a process may take to come up or to answer.
+const LIMIT: Duration = Duration::from_secs(15);
+/// The one method: tokened, calls nothing.
+const METHOD: &str = "save";
+
+/// How an RPC ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    Ok,
+    /// With the time to return, in milliseconds.
+    PushedBack(u64),
+    Aborted,
+    Nothing,
+}
+
+struct Even(f64);
+
+impl Work for Even {
+    fn begins(&mut self, _id: &str, _method: &str, _body: &[u8]) -> Option<(f64, Option<f64>)> {
+        Some((self.0, None))
+    }
+}
+
+struct Process {
+    child: Child,
+    scgi: SocketAddr,
+    operator: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+    _engine: Engine,
+    stopped: bool,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Fleet {
+    program: PathBuf,
+    folder: PathBuf,
+    pub links: Links,
+    processes: Vec<Option<Process>>,
+    /// What the site file's `fleet` says beside names and addresses.
+    more: Value,
+    control: UdpSocket,
+    sent: u64,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.processes.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn signal(child: &Child, name: &str) -> std::io::Result<()> {
+    let status = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", child.id())]).status()?;
+    if status.success() { Ok(()) } else { Err(std::io::Error::other(format!("kill -{name}: {status}"))) }
+}
+
+impl Fleet {
+    /// `more`: further keys of the site file's `fleet`.
+    pub fn start(program: &Path, count: usize, seed: u64, more: Value) -> std::io::Result<Fleet> {
+        let links = Links::start(count, seed)?;
+        let place = links.addresses.first().map_or(0, SocketAddr::port);
+        let folder = std::env::temp_dir().join(format!("coralstep-fleet-{}-{place}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let control = UdpSocket::bind("127.0.0.1:0")?;
+        let processes = (0..count).map(|_| None).collect();
+        let mut fleet =
+            Fleet { program: program.to_owned(), folder, links, processes, more, control, sent: 0 };
+        (0..count).try_for_each(|at| fleet.boot(at))?;
+        Ok(fleet)
+    }
+
+    /// Starts process `at`, in place of the one that was there.
+    pub fn boot(&mut self, at: usize) -> std::io::Result<()> {
+        self.processes[at] = None;
+        let terms =
+            EngineTerms { cores: 2, crowd: 8.0, speed: 1.0, cold: None, breaks: None, never_ends: false };
+        let plight: Arc<Mutex<Plight>> = Arc::default();
+        let engine = Engine::serve(std::net::TcpListener::bind("127.0.0.1:0")?, terms, Even(2.0), plight)?;
+        let settings = json!({
+            "classes": [{"name": METHOD, "idempotency": "by_key", "promise": 2_000_000_000u64, "deadline": 4_000_000_000u64,
+                "worth": 1, "window": 20_000_000_000u64}],
+            "domain": {"cores": 2, "calls_by_class": [false], "class_skip_worth": [0.0],
+                "memory_kb": 20_000, "run_factor": 8, "key_kb": 5,
+                "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"], "callers": 3, "caller_idle": 1_000_000_000u64},
+            "safety": {"drain_grace": 200_000_000, "fall_multiple": 8}, "realms": [], "group_size": 4,
+            "goal": {"whole": 1}, "worth_by": "request",
+        });
+        let config = json!({
+            "name": format!("n{at}"), "engine": engine.address.to_string(),
+            "control": self.control.local_addr()?.to_string(), "seed": format!("{:x}", at + 1), "stop_ms": 1500,
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": settings,
+        });
+        let mut peers: Vec<String> = self.links.addresses.iter().map(ToString::to_string).collect();
+        peers.remove(at);
+        let mut section = json!({
+            "name": "alps", "listen": "127.0.0.1:0", "advertise": self.links.addresses[at].to_string(), "peers": peers,
+        });
+        if let (Some(section), Some(more)) = (section.as_object_mut(), self.more.as_object()) {
+            section.extend(more.clone());
+        }
+        let site = json!({
+            "fleet": section, "operator": {"listen": "127.0.0.1:0"}, "levels": {},
+            "scgi": {"listen": ["127.0.0.1:0"], "routes": [{"verb": "POST", "path": "/save", "method": METHOD}],
+                "headers": {"token": "HTTP_IDEMPOTENCY_KEY"}},
+        });
+        let (config_file, site_file) =
+            (self.folder.join(format!("config-{at}.json")), self.folder.join(format!("site-{at}.json")));
+        std::fs::write(&config_file, config.to_string())?;
+        std::fs::write(&site_file, site.to_string())?;
+        let mut child = Command::new(&self.program)
+            .args(["serve", "--config"])
+            .arg(config_file)
+            .arg("--site")
+            .arg(site_file)
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        if let Some(stderr) = child.stderr.take() {
+            let log = log.clone();
+            std::thread::spawn(move || {
+                BufReader::new(stderr).lines().map_while(Result::ok).for_each(|line| lock(&log).push(line))
+            });
+        }
+        let mut process = Process {
+            child,
+            scgi: SocketAddr::from(([127, 0, 0, 1], 0)),
+            operator: SocketAddr::from(([127, 0, 0, 1], 0)),
+            log,
+            _engine: engine,
+            stopped: false,
+        };
+        let start = Instant::now();
+        let named = |process: &Process, before: &str, after: &str| -> Option<SocketAddr> {
+            lock(&process.log)
+                .iter()
+                .find_map(|line| line.split(before).nth(1)?.strip_suffix(after)?.parse().ok())
+        };
+        loop {
+            let found = (
+                named(&process, "listens on ", " for SCGI"),
+                named(&process, "operators ask at ", ""),
+                named(&process, "hears its fleet at ", ""),
+            );
+            if let (Some(scgi), Some(operator), Some(fleet)) = found {
+                (process.scgi, process.operator) = (scgi, operator);
+                self.links.listens(at, fleet);
+                break;
+            }
+            if start.elapsed() > LIMIT || process.child.try_wait()?.is_some() {
+                return Err(std::io::Error::other(format!(
+                    "n{at} doesn't come up: {:?}",
+                    lock(&process.log)
+                )));
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        self.processes[at] = Some(process);
+        Ok(())
+    }
+
+    pub fn count(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Those that run and were not stopped.
+    pub fn running(&self) -> Vec<usize> {
+        let runs = |process: &Option<Process>| process.as_ref().is_some_and(|process| !process.stopped);
+        (0..self.count()).filter(|at| runs(&self.processes[*at])).collect()
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self, at: usize) {
+        self.processes[at] = None;
+    }
+
+    /// SIGSTOP, or SIGCONT.
+    pub fn pause(&mut self, at: usize, stopped: bool) -> std::io::Result<()> {
+        let Some(process) = &mut self.processes[at] else { return Ok(()) };
+        process.stopped = stopped;
+        signal(&process.child, if stopped { "STOP" } else { "CONT" })
+    }
+
+    /// SIGTERM.
+    pub fn leave(&self, at: usize) -> std::io::Result<()> {
+        self.processes[at].as_ref().map_or(Ok(()), |process| signal(&process.child, "TERM"))
+    }
+
+    /// Asks process `at` as an operator does.
+    pub fn ask(&self, at: usize, question: &Value) -> std::io::Result<Value> {
+        let Some(process) = &self.processes[at] else { return Err(std::io::Error::other("it doesn't run")) };
+        let mut stream = TcpStream::connect_timeout(&process.operator, LIMIT)?;
+        stream.set_read_timeout(Some(LIMIT))?;
+        stream.write_all(format!("{question}\n").as_bytes())?;
+        let mut said = String::new();
+        BufReader::new(stream).read_line(&mut said)?;
+        Ok(serde_json::from_str(&said)?)
+    }
+
+    pub fn operator(&self, at: usize) -> Option<SocketAddr> {
+        self.processes[at].as_ref().map(|process| process.operator)
+    }
+
+    /// The version that process `at` acts on, as it says itself.
+    pub fn acts_on(&self, at: usize) -> std::io::Result<String> {
+        let said = self.ask(at, &json!({"ask": "fleet_members"}))?;
+        let own = format!("n{at}");
+        let members = said["members"].as_array().cloned().unwrap_or_default();
+        let version =
+            members.iter().find(|member| member["server"] == own.as_str()).map(|own| own["version"].clone());
+        Ok(version.and_then(|version| version.as_str().map(str::to_owned)).unwrap_or_default())
+    }
+
+    /// How many members process `at` says are there.
+    pub fn alive(&self, at: usize) -> std::io::Result<usize> {
+        let said = self.ask(at, &json!({"ask": "fleet_members"}))?;
+        let members = said["members"].as_array().cloned().unwrap_or_default();
+        Ok(members.iter().filter(|member| member["state"] == "alive").count())
+    }
+
+    /// Publishes at process `at`; its id.
+    pub fn publish(
+        &self,
+        at: usize,
+        content: &Value,
+        must: bool,
+        waves: &[f32],
+        pause_ms: u64,
+    ) -> std::io::Result<String> {
+        let question = json!({"ask": "fleet_publish", "content": content, "must": must, "waves": waves, "pause_ms": pause_ms});
+        let said = self.ask(at, &question)?;
+        said["published"].as_str().map(str::to_owned).ok_or_else(|| std::io::Error::other(said.to_string()))
+    }
+
+    /// Waits until `done` says so, at most so long.
+    pub fn until(&self, limit: Duration, mut done: impl FnMut(&Fleet) -> bool) -> Option<Duration> {
+        let start = Instant::now();
+        while start.elapsed() < limit {
+            if done(self) {
+                return Some(start.elapsed());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
+    /// Whether all that run act on `version`.
+    pub fn all_on(&self, version: &str) -> bool {
+        self.running().into_iter().all(|at| self.acts_on(at).is_ok_and(|on| on == version))
+    }
+
+    pub fn logged(&self, at: usize, text: &str) -> bool {
+        self.processes[at]
+            .as_ref()
+            .is_some_and(|process| lock(&process.log).iter().any(|line| line.contains(text)))
+    }
+
+    pub fn log(&self, at: usize) -> Vec<String> {
+        self.processes[at].as_ref().map(|process| lock(&process.log).clone()).unwrap_or_default()
+    }
+
+    /// Sends an RPC to process `at` and waits for its answer.
+    pub fn rpc(&mut self, at: usize) -> Told {
+        self.sent += 1;
+        let token = format!("token {}", self.sent);
+        let Some(process) = &self.processes[at] else { return Told::Nothing };
+        rpc(process.scgi, &token).unwrap_or(Told::Nothing)
+    }
+}
+
+fn rpc(at: SocketAddr, token: &str) -> std::io::Result<Told> {
+    let mut stream = TcpStream::connect_timeout(&at, LIMIT)?;
+    stream.set_read_timeout(Some(LIMIT))?;
+    let mut head = Vec::new();
+    for (key, value) in [
+        ("CONTENT_LENGTH", "1"),
+        ("SCGI", "1"),
+        ("REQUEST_METHOD", "POST"),
+        ("REQUEST_URI", "/save"),
+        ("HTTP_IDEMPOTENCY_KEY", token),
+    ] {
+        head.extend_from_slice(format!("{key}\0{value}\0").as_bytes());
+    }
+    stream.write_all(&[format!("{}:", head.len()).as_bytes(), &head, b",x"].concat())?;
+    let mut said = String::new();
+    stream.read_to_string(&mut said)?;
+    let retry = said.lines().find_map(|line| line.strip_prefix("Retry-After: ")?.trim().parse::<u64>().ok());
+    Ok(match said.split_whitespace().nth(1) {
+        Some("200") => Told::Ok,
+        Some("503") => Told::PushedBack(retry.unwrap_or(0) * 1000),
+        Some(_) => Told::Aborted,
+        None => Told::Nothing,
+    })
+}
--- a/crates/coralstep-lab/src/lib.rs
+++ b/crates/coralstep-lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod emulate;
 pub mod experiment;
 pub mod explore;
+pub mod fleet;
 pub mod load;
 pub mod queue;
 pub mod record;
--- a/crates/coralstep-server/src/cli/levels.rs
+++ b/crates/coralstep-server/src/cli/levels.rs
@@ -91,7 +91,7 @@
     Ok(())
 }
 
-fn ask(at: &Listen, question: &Question) -> io::Result<Json> {
+pub fn ask(at: &Listen, question: &Question) -> io::Result<Json> {
     fn talk(mut stream: impl Read + Write, question: &Question) -> io::Result<String> {
         stream.write_all(format!("{}\n", serde_json::to_string(question)?).as_bytes())?;
         let mut said = String::new();
--- a/crates/coralstep-server/src/decisions/facade.rs
+++ b/crates/coralstep-server/src/decisions/facade.rs
@@ -8,7 +8,9 @@
 use std::task::{Poll, Waker};
 use std::time::Duration;
 
-use coralstep::{Arrival, Gauges, Learned, Outcome, Outlet, Prior, RpcId, Server, Span, Terms, Time, Turn};
+use coralstep::{
+    Arrival, Gauges, Learned, Level, Outcome, Outlet, Prior, RpcId, Server, Span, Terms, Time, Turn,
+};
 use coralstep_levels::LevelTerms;
 use coralstep_terms::Names;
 use event_listener::Event;
@@ -18,6 +20,9 @@
 use crate::decisions::levels::Kept;
 use crate::note;
 
+/// Says for how long nothing is to be admitted.
+pub type Gate = Rc<dyn Fn() -> Option<Span>>;
+
 /// What is known of an RPC once it is read.
 #[derive(Debug, Default)]
 pub struct Offer {
@@ -292,6 +297,11 @@
     /// A tick earlier than the one waited for was asked for.
     sooner: Event,
     picked: Cell<u64>,
+    /// RPCs whose runs ended well.
+    ran: Cell<u64>,
+    /// How long this server admits nothing, where the fleet says so: asked before each RPC.
+    gate: RefCell<Option<Gate>>,
+    shut: Cell<bool>,
 }
 
 /// An RPC's place with the decisions; given back when dropped.
@@ -327,6 +337,9 @@
             most_rpcs: limits.rpcs,
             sooner: Event::new(),
             picked: Cell::new(0),
+            ran: Cell::new(0),
+            gate: RefCell::default(),
+            shut: Cell::new(false),
         }
     }
 
@@ -465,6 +478,7 @@
             prior: prior.map_or(Prior::Nothing, Prior::Of),
             ..Arrival::default()
         };
+        self.obey();
         self.picked.set(self.picked.get() + 1);
         self.happen(|server, now, desk| server.rpc(now, arrival, desk));
         Some(Ticket { facade: self.clone(), id })
@@ -490,6 +504,7 @@
             }
             News::Gone => self.happen(|server, now, desk| server.gone(now, id, desk)),
             News::Ran(end) => {
+                self.ran.set(self.ran.get() + u64::from(matches!(end, RunEnd::Ok(_))));
                 let outcome = match end {
                     RunEnd::Ok(_) => Outcome::Ok,
                     RunEnd::Error => Outcome::Error,
@@ -533,7 +548,8 @@
             }
         }
         self.happen(|server, now, desk| server.timer(now, gauges, desk));
-        let Some(levels) = &self.levels else { return };
+        self.obey();
+        let Some(levels) = self.levels.as_ref().filter(|_| !self.shut.get()) else { return };
         // Guards against a fault among the levels that takes the tick along: without one the last level holds.
         let beat = AssertUnwindSafe(|| {
             self.happen(|server, now, desk| {
@@ -565,7 +581,7 @@
     }
 
     pub fn healthy(&self) -> bool {
-        self.inner.borrow().desk.health
+        self.inner.borrow().desk.health && !self.shut.get()
     }
 
     /// The free value, where one was set.
@@ -578,6 +594,28 @@
         self.inner.borrow().desk.idle.filter(|idle| !idle.is_zero())
     }
 
+    /// Who may shut this server: `gate` tells for how long nothing is to be admitted, and none while all is.
+    pub fn gate(&self, gate: Gate) {
+        *self.gate.borrow_mut() = Some(gate);
+    }
+
+    /// Looks whether this server is shut out. Held RPCs are then answered at once, what has run goes on to its end.
+    pub fn obey(&self) {
+        let Some(gate) = self.gate.borrow().clone() else { return };
+        let back = gate();
+        if back.is_none() && !self.shut.get() {
+            return;
+        }
+        self.shut.set(back.is_some());
+        let level = back.map_or_else(Level::default, |back| Level { closed: true, back, ..Level::default() });
+        self.happen(|server, now, desk| server.level(now, level, desk));
+    }
+
+    /// RPCs picked since the start, and of these those whose runs ended well.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.picked.get(), self.ran.get())
+    }
+
     /// RPCs picked since the start.
     pub fn picked(&self) -> u64 {
         self.picked.get()
--- /dev/null
+++ b/crates/coralstep-server/src/fleet/carrier.rs
@@ -0,0 +1,264 @@
+//! Carries the fleet's datagrams: UDP from listed networks alone, a bounded number of bytes a second, ticks at their times. What a datagram
+//! means is decided in `coralstep-fleet`; here its events become log lines, and a version becomes settings.
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, UdpSocket};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use async_io::{Async, Timer};
+use coralstep::Span;
+use coralstep_fleet::audit::Filter;
+use coralstep_fleet::envelope::READ_MOST;
+use coralstep_fleet::{Event, Fleet, Id, Member, Ms, State};
+use coralstep_terms::site::{FleetTerms, Silent};
+use futures_lite::FutureExt;
+use futures_lite::future::yield_now;
+use ipnet::IpNet;
+use serde_json::{Value, json};
+
+use crate::decisions::facade::Facade;
+use crate::note;
+
+/// Between two ticks.
+const TICK: Duration = Duration::from_millis(50);
+/// Bytes that may be sent a second, whatever the fleet's size, and at once.
+const BYTES_A_SECOND: f64 = 64.0 * 1024.0;
+/// Datagrams read in a row before others have their turn.
+const AT_ONCE: usize = 32;
+
+/// Takes up the content of a version, or says why not.
+pub type Take = Box<dyn Fn(&str) -> Result<(), String>>;
+
+pub struct Carrier {
+    fleet: RefCell<Fleet>,
+    socket: Async<UdpSocket>,
+    networks: Vec<IpNet>,
+    start: Instant,
+    /// Bytes that may be sent now, and since when that is reckoned.
+    budget: Cell<(f64, Instant)>,
+    /// Datagrams that were not sent for it, and not believed.
+    held_back: Cell<u64>,
+    faults: Cell<u64>,
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+fn named(member: &Member) -> String {
+    format!("{} at {}", member.name, member.at)
+}
+
+fn tell(event: &Event) {
+    let said = match event {
+        Event::Member(member, state) => format!("{} is {}", named(member), state.name()),
+        Event::Back => "the others took this server for gone; it is back".to_owned(),
+        Event::NameHeld(one, other) => {
+            format!("one name, two processes: {} and {}", named(one), named(other))
+        }
+        Event::Held(id) => format!("version {id} is here"),
+        Event::ActsOn(id) => format!("acts on version {id}"),
+        Event::TurnedDown(id, why) => format!("turned version {id} down: {why}"),
+        Event::Fork(one, other) => {
+            format!("a fork: {one} and {other} replace the same version; {other} holds")
+        }
+        Event::Stopped(id, why) => format!("the wave of version {id} goes no further: {why}"),
+        Event::Shut(why) => format!("shut out: {why:?}"),
+        Event::LetIn => "let in".to_owned(),
+        Event::TooMany(id) => {
+            format!("too many would be shut out for version {id}: the version or the network is at fault")
+        }
+        Event::RecordChanged(name) => format!("the record of {name} is not what it was"),
+        Event::ClockOff(name) => format!("the clock of {name} is too far ahead to be believed"),
+        Event::Paused(ms) => format!("this process was paused for {ms} ms"),
+    };
+    tracing::info!(target: "fleet", "fleet: {said}");
+}
+
+impl Carrier {
+    pub fn bind(terms: &FleetTerms, name: &str, seed: u64) -> Result<Carrier, String> {
+        let socket = UdpSocket::bind(terms.listen).and_then(Async::new);
+        let socket = socket.map_err(|why| format!("fleet.listen: {}: {why}", terms.listen))?;
+        let bound = socket.get_ref().local_addr().map_err(|why| format!("fleet.listen: {why}"))?;
+        let start = Instant::now();
+        let own = Member::new(name, terms.advertise.unwrap_or(bound), wall_ms());
+        if !own.is_sound() {
+            return Err(format!("name: {name:?} is none that a fleet can hear"));
+        }
+        let terms_ = coralstep_fleet::FleetTerms {
+            name: terms.name.clone(),
+            own,
+            peers: terms.peers.clone(),
+            behind: u64::from(terms.behind_s) * 1_000,
+            silent: u64::from(terms.silent_s) * 1_000,
+            silent_shuts: terms.silent == Silent::ShutOut,
+            seed,
+        };
+        Ok(Carrier {
+            fleet: RefCell::new(Fleet::new(terms_, 0, wall_ms())),
+            socket,
+            networks: terms.networks.clone(),
+            start,
+            budget: Cell::new((BYTES_A_SECOND, start)),
+            held_back: Cell::new(0),
+            faults: Cell::new(0),
+        })
+    }
+
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.socket.get_ref().local_addr().ok()
+    }
+
+    fn now(&self) -> Ms {
+        self.start.elapsed().as_millis() as Ms
+    }
+
+    /// From here on each RPC is preceded by a look at whether this server is shut out.
+    pub fn guard(self: &Rc<Self>, facade: &Facade) {
+        let carrier = self.clone();
+        facade.gate(Rc::new(move || carrier.back()));
+    }
+
+    fn back(&self) -> Option<Span> {
+        // Never while something of the fleet's own is under way.
+        let mut fleet = self.fleet.try_borrow_mut().ok()?;
+        fleet.back(self.now()).map(Span::ms)
+    }
+
+    /// Hears and speaks for good.
+    pub async fn run(&self, facade: &Facade, take: &Take) {
+        let mut next = Instant::now();
+        let mut buffer = vec![0; READ_MOST + 1];
+        loop {
+            let beat = async {
+                Timer::at(next).await;
+                None
+            };
+            let heard = async { Some(self.socket.recv_from(&mut buffer).await) };
+            // Guards against a flood of datagrams that lets no time pass: the beat comes first.
+            match beat.or(heard).await {
+                Some(Ok((count, from))) => {
+                    self.heard(&buffer[..count], from);
+                    for _ in 1..AT_ONCE {
+                        let Ok((count, from)) = self.socket.get_ref().recv_from(&mut buffer) else { break };
+                        self.heard(&buffer[..count], from);
+                    }
+                    yield_now().await;
+                }
+                // A datagram that came back unreachable says nothing that the members don't find out.
+                Some(Err(_)) => drop(Timer::after(Duration::from_millis(1)).await),
+                None => {
+                    next = Instant::now() + TICK;
+                    // Guards against a fault of one moment that ends the part, and with it all that it guards.
+                    if catch_unwind(AssertUnwindSafe(|| self.tick(facade, take))).is_err() {
+                        note!("a tick of the fleet ended by a panic");
+                    }
+                }
+            }
+            self.flush();
+        }
+    }
+
+    fn heard(&self, bytes: &[u8], from: SocketAddr) {
+        let listed = self.networks.iter().any(|network| network.contains(&from.ip()));
+        let heard = listed && self.fleet.borrow_mut().heard(self.now(), wall_ms(), bytes).is_ok();
+        self.faults.set(self.faults.get() + u64::from(!heard));
+    }
+
+    fn tick(&self, facade: &Facade, take: &Take) {
+        let now = self.now();
+        self.fleet.borrow_mut().tick(now, wall_ms(), facade.counts());
+        let pending = self.fleet.borrow_mut().pending(now);
+        if let Some((id, version)) = pending {
+            // Taken up without a hold on the fleet: what it changes may ask.
+            let taken = take(&version.content);
+            let mut fleet = self.fleet.borrow_mut();
+            match taken {
+                Ok(()) => fleet.took(now, wall_ms(), id),
+                Err(why) => fleet.turned_down(now, id, &why),
+            }
+        }
+        facade.obey();
+    }
+
+    fn flush(&self) {
+        let (events, send) = {
+            let mut fleet = self.fleet.borrow_mut();
+            (fleet.events(), fleet.send())
+        };
+        events.iter().for_each(tell);
+        for (to, bytes) in send {
+            let (left, since) = self.budget.get();
+            let left = (left + since.elapsed().as_secs_f64() * BYTES_A_SECOND).min(BYTES_A_SECOND);
+            let may = left >= bytes.len() as f64;
+            self.budget.set((left - if may { bytes.len() as f64 } else { 0.0 }, Instant::now()));
+            if !may || self.socket.get_ref().send_to(&bytes, to).is_err() {
+                self.held_back.set(self.held_back.get() + 1);
+            }
+        }
+    }
+
+    /// Tells the others that this server leaves.
+    pub fn leave(&self) {
+        self.fleet.borrow_mut().leave(self.now(), wall_ms());
+        self.flush();
+    }
+
+    /// Members, an object each.
+    pub fn members(&self) -> Value {
+        let fleet = self.fleet.borrow();
+        let one = |(member, state, version, age): (Member, State, Option<Id>, u64)| {
+            json!({
+                "server": member.name, "address": member.at.to_string(), "state": state.name(),
+                "version": version.map(|id| id.to_string()), "age_ms": (age < u64::MAX).then_some(age),
+            })
+        };
+        let members: Vec<Value> = fleet.members(self.now()).into_iter().map(one).collect();
+        json!({ "members": members, "shut": fleet.shut(), "not_believed": self.faults.get(), "held_back": self.held_back.get() })
+    }
+
+    pub fn versions(&self) -> Value {
+        let fleet = self.fleet.borrow();
+        let versions = fleet.versions();
+        let one = |(id, version): (Id, &coralstep_fleet::versions::Version)| {
+            json!({
+                "version": id.to_string(), "replaces": version.replaces.to_string(), "by": version.by, "at_ms": version.at_ms,
+                "must": version.must, "waves": version.waves, "pause_ms": version.pause_ms, "bytes": version.content.len(),
+                "acts_on": fleet.acts_on() == id, "turned_down": versions.why_not(id),
+            })
+        };
+        let forks: Vec<[String; 2]> =
+            versions.forks().iter().map(|(one, other)| [one.to_string(), other.to_string()]).collect();
+        json!({ "versions": versions.all().map(one).collect::<Vec<Value>>(), "forks": forks })
+    }
+
+    pub fn audit(&self, filter: &Filter) -> Value {
+        let one = |row: coralstep_fleet::audit::Row| {
+            json!({
+                "server": row.server, "version": row.version.to_string(), "from_ms": row.from_ms, "to_ms": row.to_ms,
+                "rpcs": row.rpcs, "age_ms": row.age_ms, "known": row.known,
+            })
+        };
+        let rows = self.fleet.borrow().audit(self.now(), filter);
+        json!({ "audit": rows.into_iter().map(one).collect::<Vec<Value>>() })
+    }
+
+    pub fn publish(&self, content: String, must: bool, waves: Vec<f32>, pause_ms: u64) -> Result<Id, String> {
+        let id = self.fleet.borrow_mut().publish(self.now(), wall_ms(), content, must, waves, pause_ms)?;
+        self.flush();
+        Ok(id)
+    }
+
+    /// Shuts this server out or lets it in, by hand; `server` must be its own name.
+    pub fn by_hand(&self, server: &str, shut: bool) -> Result<(), String> {
+        let own = self.fleet.borrow().own().name.clone();
+        if server != own {
+            return Err(format!("this is {own}; ask {server} itself"));
+        }
+        self.fleet.borrow_mut().by_hand(self.now(), shut);
+        self.flush();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/coralstep-server/src/fleet/mod.rs
@@ -0,0 +1,2 @@
+//! How this server hears the others of its fleet.
+pub mod carrier;
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod callers;
 pub mod decisions;
 pub mod dependency;
+pub mod fleet;
 pub mod life;
 pub mod operators;
 pub mod runs;
@@ -36,6 +37,7 @@
 use callers::scgi::Scgi;
 use decisions::facade::Facade;
 use dependency::store::Store;
+use fleet::carrier::{Carrier, Take};
 use life::keep::Keeper;
 use life::reload::Movable;
 use life::{control, drain, reload};
@@ -90,6 +92,9 @@
     }
     // Guards against an operator who has read where the server listens and finds no door of theirs yet.
     let operator = site.operator.as_ref().map(|terms| Operator::bind(&terms.listen)).transpose()?;
+    let carrier =
+        site.fleet.as_ref().map(|terms| Carrier::bind(terms, &config.name, config.seed)).transpose()?;
+    let carrier = carrier.map(Rc::new);
     let leaving = Cell::new(false);
     for (listener, _, what) in &listeners {
         let address = listener.get_ref().local_addr().map_err(|why| format!("listen: {why}"))?;
@@ -98,9 +103,16 @@
     if let Some(operator) = &operator {
         note!("operators ask at {}", operator.address());
     }
+    if let Some(at) = carrier.as_ref().and_then(|carrier| carrier.address()) {
+        note!("{} hears its fleet at {at}", config.name);
+    }
     // Nothing is decided before the executor runs: what was learned comes in time.
     let keeper = site.state.as_ref().and_then(|terms| Keeper::start(terms, &config, &facade));
-    let movable = Movable { scgi, applications, levels: facade.levels().cloned() };
+    let movable = Rc::new(Movable { scgi, applications, levels: facade.levels().cloned() });
+    let take: Take = {
+        let (movable, site, names) = (movable.clone(), site.clone(), config.names.clone());
+        Box::new(move |content| reload::take_version(content, &site, &names, &movable))
+    };
     let forever = async {
         let mut parts: Vec<Part<'_>> = vec![
             Box::pin(control::report(&config.name, &places.control, &facade, &leaving)),
@@ -108,7 +120,7 @@
             Box::pin(table.sweep()),
             Box::pin(beat(&facade, &engine)),
         ];
-        match movable.applications {
+        match &movable.applications {
             // Nothing is to be waited for: they may come and go.
             Some(_) => facade.start(None, Duration::ZERO),
             None => parts.push(Box::pin(engine.keep(&places.engine, &facade))),
@@ -117,7 +129,11 @@
             parts.push(Box::pin(keeper.run(&facade)));
         }
         if let Some(operator) = &operator {
-            parts.push(Box::pin(operator.listen(&executor, &facade)));
+            parts.push(Box::pin(operator.listen(&executor, &facade, carrier.clone())));
+        }
+        if let Some(carrier) = &carrier {
+            carrier.guard(&facade);
+            parts.push(Box::pin(carrier.run(&facade, &take)));
         }
         parts.extend(
             listeners
@@ -126,7 +142,8 @@
         );
         all(parts).await
     };
-    let leave = drain::wait(leave, &facade, &table, config.stop, &leaving);
+    let told = || carrier.iter().for_each(|carrier| carrier.leave());
+    let leave = drain::wait(leave, &facade, &table, config.stop, &leaving, &told);
     block_on(executor.run(leave.or(forever)));
     if let Some(keeper) = &keeper {
         keeper.end(&facade);
--- a/crates/coralstep-server/src/life/drain.rs
+++ b/crates/coralstep-server/src/life/drain.rs
@@ -30,11 +30,14 @@
     table: &Table,
     stop: Duration,
     leaving: &Cell<bool>,
+    told: &dyn Fn(),
 ) {
     signals.next().await;
     let stop_at = Instant::now() + stop;
     note!("leaving within {} ms", stop.as_millis());
     leaving.set(true);
+    // The others hear it before anything else changes.
+    told();
     facade.leave(stop);
     Timer::at(stop_at.checked_sub(SHUT).unwrap_or(stop_at)).await;
     table.shut();
--- a/crates/coralstep-server/src/life/reload.rs
+++ b/crates/coralstep-server/src/life/reload.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use async_signal::{Signal, Signals};
+use coralstep_terms::Names;
 use coralstep_terms::site::SiteTerms;
 use futures_lite::StreamExt;
 
@@ -53,6 +54,21 @@
     note!("reload: engine at {engine}, store at {store}, control plane at {control}");
 }
 
+/// Takes up a version of the fleet's settings on top of what the site file says, or says why not; then nothing has changed.
+pub fn take_version(content: &str, site: &SiteTerms, names: &Names, movable: &Movable) -> Result<(), String> {
+    let new = site.with_version(content, names)?;
+    if let (Some(levels), Some(terms)) = (&movable.levels, &new.levels) {
+        levels.reload(terms)?;
+    }
+    if let (Some(front), Some(terms)) = (&movable.scgi, &new.scgi) {
+        front.reload(terms, names)?;
+    }
+    if let (Some(applications), Some(terms)) = (&movable.applications, &new.applications) {
+        applications.reload(terms);
+    }
+    Ok(())
+}
+
 fn take_up_site(config: &Config, start: &Config, movable: &Movable) {
     let (new, old) = (&config.site, &start.site);
     let listens = |site: &SiteTerms| site.scgi.as_ref().map(|scgi| scgi.listen.clone());
@@ -62,6 +78,7 @@
         ("levels", new.levels.is_some() != old.levels.is_some()),
         ("operator", new.operator != old.operator),
         ("log", new.log != old.log),
+        ("fleet", new.fleet != old.fleet),
     ];
     for (key, _) in sections.iter().filter(|(_, differs)| *differs) {
         note!("reload: {key}: changes only with a restart");
--- a/crates/coralstep-server/src/main.rs
+++ b/crates/coralstep-server/src/main.rs
@@ -1,4 +1,6 @@
 //! The program `coralstep`.
+#[path = "cli/fleet.rs"]
+mod fleet;
 #[path = "cli/levels.rs"]
 mod levels;
 #[path = "cli/state.rs"]
@@ -17,6 +19,7 @@
        coralstep check [--config FILE] [--site FILE]    read both and tell what is wrong with them
        coralstep schema                                 print the schema of the site file
        coralstep levels --help                          levels of reduced service: show, history, hold, release, replay
+       coralstep fleet --help                           the fleet: members, versions, who acted on what
        coralstep state --help                           what is kept over a restart: show, verify, export
        coralstep version
        coralstep --help
@@ -35,6 +38,7 @@
     Schema,
     Levels(levels::Call),
     State(state::Call),
+    Fleet(fleet::Call),
     Version,
     Help,
 }
@@ -51,6 +55,9 @@
             Value(value) if name.is_none() && value == "levels" => {
                 return levels::call(&mut parser).map(Command::Levels);
             }
+            Value(value) if name.is_none() && value == "fleet" => {
+                return fleet::call(&mut parser).map(Command::Fleet);
+            }
             Value(value) if name.is_none() && value == "state" => {
                 return state::call(&mut parser).map(Command::State);
             }
@@ -104,6 +111,7 @@
             Ok(())
         }
         Ok(Command::Levels(call)) => levels::run(call),
+        Ok(Command::Fleet(call)) => fleet::run(call),
         Ok(Command::State(call)) => match state::run(call) {
             Ok(true) => Ok(()),
             Ok(false) => return ExitCode::FAILURE,
--- a/crates/coralstep-server/src/operators/ops.rs
+++ b/crates/coralstep-server/src/operators/ops.rs
@@ -9,17 +9,19 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use coralstep_fleet::audit::Filter;
 use coralstep_terms::site::Listen;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use crate::decisions::facade::Facade;
+use crate::fleet::carrier::Carrier;
 use crate::note;
 
 /// Connections at once, bytes of a question, and how long one may take.
 const CONNECTIONS: usize = 8;
-const QUESTION_MOST: usize = 4 * 1024;
+const QUESTION_MOST: usize = 96 * 1024;
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Between two tries to accept where none could be.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -32,9 +34,34 @@
     /// The last changes of level.
     History,
     /// Holds a level by hand.
-    Hold { level: String, ms: u64 },
+    Hold {
+        level: String,
+        ms: u64,
+    },
     /// Ends a hold.
     Release,
+    /// Who is there.
+    FleetMembers,
+    FleetVersions,
+    /// Who acted on what: of one version or server, or at a time (Unix ms), where these are given.
+    FleetAudit {
+        version: Option<String>,
+        server: Option<String>,
+        at_ms: Option<u64>,
+    },
+    /// A new version: sections of the site file.
+    FleetPublish {
+        content: Value,
+        must: bool,
+        waves: Vec<f32>,
+        pause_ms: u64,
+    },
+    FleetShutOut {
+        server: String,
+    },
+    FleetLetIn {
+        server: String,
+    },
 }
 
 enum Listener {
@@ -87,7 +114,12 @@
         }
     }
 
-    pub async fn listen(&self, executor: &Rc<LocalExecutor<'static>>, facade: &Rc<Facade>) {
+    pub async fn listen(
+        &self,
+        executor: &Rc<LocalExecutor<'static>>,
+        facade: &Rc<Facade>,
+        carrier: Option<Rc<Carrier>>,
+    ) {
         loop {
             let accepted: std::io::Result<Box<dyn Talk>> = match &self.listener {
                 Listener::Tcp(listener) => {
@@ -100,7 +132,7 @@
             match accepted {
                 Ok(_) if self.open.get() >= CONNECTIONS => {}
                 Ok(stream) => {
-                    let (open, facade) = (self.open.clone(), facade.clone());
+                    let (open, facade, carrier) = (self.open.clone(), facade.clone(), carrier.clone());
                     open.set(open.get() + 1);
                     executor
                         .spawn(async move {
@@ -108,7 +140,7 @@
                                 Timer::after(PATIENCE).await;
                                 Ok(())
                             };
-                            if let Err(why) = answer(stream, &facade).or(late).await {
+                            if let Err(why) = answer(stream, &facade, carrier.as_deref()).or(late).await {
                                 note!(client: "operator's connection ended: {why}");
                             }
                             open.set(open.get() - 1);
@@ -132,7 +164,11 @@
 trait Talk: AsyncRead + AsyncWrite + Unpin {}
 impl<T: AsyncRead + AsyncWrite + Unpin> Talk for T {}
 
-async fn answer(mut stream: Box<dyn Talk>, facade: &Facade) -> std::io::Result<()> {
+async fn answer(
+    mut stream: Box<dyn Talk>,
+    facade: &Facade,
+    carrier: Option<&Carrier>,
+) -> std::io::Result<()> {
     let mut bytes = Vec::new();
     while !bytes.contains(&b'\n') {
         let mut more = [0; 512];
@@ -146,13 +182,46 @@
     }
     let line = bytes.split(|byte| *byte == b'\n').next().unwrap_or_default();
     let said = match serde_json::from_slice(line) {
-        Ok(question) => said(question, facade),
+        Ok(question) => match said_of_fleet(&question, carrier) {
+            Some(said) => said,
+            None => said(question, facade),
+        },
         Err(why) => json!({ "error": why.to_string() }),
     };
     stream.write_all(format!("{said}\n").as_bytes()).await?;
     stream.close().await
 }
 
+/// What is said to a question about the fleet; none where it is about something else.
+fn said_of_fleet(question: &Question, carrier: Option<&Carrier>) -> Option<Value> {
+    use Question::*;
+    if matches!(question, Levels | History | Hold { .. } | Release) {
+        return None;
+    }
+    let Some(carrier) = carrier else {
+        return Some(json!({"error": "this server has no fleet: its site file names none"}));
+    };
+    let done = |done: Result<Value, String>| done.unwrap_or_else(|why| json!({ "error": why }));
+    Some(match question {
+        FleetMembers => carrier.members(),
+        FleetVersions => carrier.versions(),
+        FleetAudit { version, server, at_ms } => done((|| {
+            let version = version.as_ref().map(|version| version.parse()).transpose()?;
+            Ok(carrier.audit(&Filter { version, server: server.clone(), at_ms: *at_ms }))
+        })()),
+        FleetPublish { content, must, waves, pause_ms } => done(
+            carrier
+                .publish(content.to_string(), *must, waves.clone(), *pause_ms)
+                .map(|id| json!({ "published": id.to_string() })),
+        ),
+        FleetShutOut { server } => {
+            done(carrier.by_hand(server, true).map(|()| json!({ "shut_out": server })))
+        }
+        FleetLetIn { server } => done(carrier.by_hand(server, false).map(|()| json!({ "let_in": server }))),
+        Levels | History | Hold { .. } | Release => return None,
+    })
+}
+
 fn said(question: Question, facade: &Facade) -> Value {
     let levels = facade.levels();
     let Some(levels) = levels else {
@@ -166,5 +235,6 @@
             Err(why) => json!({ "error": why }),
         },
         Question::Release => json!({ "released": levels.release() }),
+        _ => json!({"error": "this is no question about levels"}),
     }
 }
--- /dev/null
+++ b/crates/coralstep-server/tests/fleet.rs
@@ -0,0 +1,187 @@
+//! Several processes of the program with faults between them. All waits are for events, with bounds wide enough for a slow machine.
+use std::path::Path;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use coralstep_lab::fleet::{Fault, Fleet, Told};
+use serde_json::{Value, json};
+
+const LIMIT: Duration = Duration::from_secs(40);
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_coralstep"))
+}
+
+/// A fleet whose processes all know each other.
+fn fleet(count: usize, seed: u64, more: Value) -> Fleet {
+    let fleet = Fleet::start(program(), count, seed, more).unwrap();
+    let met = |fleet: &Fleet| (0..count).all(|at| fleet.alive(at).is_ok_and(|alive| alive == count));
+    let met = fleet.until(LIMIT, met);
+    println!("met after {met:?}");
+    assert!(met.is_some(), "they don't meet: {:?}", fleet.ask(0, &json!({"ask": "fleet_members"})));
+    fleet
+}
+
+fn levels(hold: f64) -> Value {
+    json!({"levels": {"record_ms": (hold * 1000.0) as u64}})
+}
+
+fn all_on(fleet: &Fleet, version: &str) {
+    let on = |fleet: &Fleet| fleet.all_on(version);
+    let members = || fleet.running().into_iter().map(|at| (at, fleet.acts_on(at))).collect::<Vec<_>>();
+    assert!(fleet.until(LIMIT, on).is_some(), "not all act on {version}: {:?}", members());
+}
+
+fn audit(fleet: &Fleet, at: usize) -> Vec<Value> {
+    let question = json!({"ask": "fleet_audit", "version": null, "server": null, "at_ms": null});
+    fleet.ask(at, &question).unwrap()["audit"].as_array().unwrap().clone()
+}
+
+#[test]
+fn seven_processes_act_on_what_is_published_at_one_and_any_answers_for_all() {
+    let mut fleet = fleet(7, 1, json!({}));
+    assert_eq!(fleet.rpc(2), Told::Ok);
+    // By the command line, as an operator does.
+    let file = std::env::temp_dir().join(format!("coralstep-version-{}.json", std::process::id()));
+    std::fs::write(&file, levels(1.0).to_string()).unwrap();
+    let at = fleet.operator(3).unwrap().to_string();
+    let call = |words: &[&str]| {
+        let said = Command::new(program()).arg("fleet").args(words).args(["--at", &at]).output().unwrap();
+        assert!(said.status.success(), "{said:?}");
+        String::from_utf8(said.stdout).unwrap()
+    };
+    let published = call(&["publish", file.to_str().unwrap(), "--json"]);
+    std::fs::remove_file(&file).unwrap();
+    let published: Value = serde_json::from_str(&published).unwrap();
+    let version = published["published"].as_str().unwrap().to_owned();
+    all_on(&fleet, &version);
+    assert_eq!(fleet.rpc(5), Told::Ok);
+    let known = |fleet: &Fleet| {
+        (0..7).all(|at| {
+            let rows = audit(fleet, at);
+            let on = rows.iter().filter(|row| row["version"] == version.as_str() && row["to_ms"].is_null());
+            let before = rows.iter().find(|row| row["server"] == "n2" && row["version"] == "0");
+            on.count() == 7 && before.is_some_and(|row| row["rpcs"] == 1 && row["known"] == true)
+        })
+    };
+    assert!(fleet.until(LIMIT, known).is_some(), "{:?}", audit(&fleet, 0));
+    let rows = call(&["audit", "--server", "n5", "--version", &version, "--json"]);
+    let row: Value = serde_json::from_str(rows.lines().next().unwrap()).unwrap();
+    assert_eq!((&row["server"], &row["version"]), (&json!("n5"), &json!(version)));
+    assert!(call(&["members"]).contains("alive") && call(&["versions"]).contains(&version));
+}
+
+#[test]
+fn two_operators_on_two_sides_of_a_cut_and_after_it() {
+    let fleet = fleet(6, 2, json!({}));
+    fleet.links.cut(&[0, 1, 2], &[3, 4, 5]);
+    let (left, right) = (
+        fleet.publish(0, &levels(1.0), false, &[], 0).unwrap(),
+        fleet.publish(5, &levels(2.0), false, &[], 0).unwrap(),
+    );
+    assert_ne!(left, right);
+    let sides = |fleet: &Fleet| {
+        (0..6).all(|at| {
+            fleet.acts_on(at).is_ok_and(|on| on == if at < 3 { left.as_str() } else { right.as_str() })
+        })
+    };
+    assert!(fleet.until(LIMIT, sides).is_some());
+    fleet.links.heal();
+    let (lost, wins) = (left.clone().min(right.clone()), left.max(right));
+    all_on(&fleet, &wins);
+    let fork = |fleet: &Fleet| {
+        (0..6).any(|at| {
+            fleet.ask(at, &json!({"ask": "fleet_versions"})).unwrap()["forks"] == json!([[lost, wins]])
+        })
+    };
+    assert!(fleet.until(LIMIT, fork).is_some());
+    assert!(
+        audit(&fleet, 0).iter().any(|row| row["version"] == lost.as_str()),
+        "who acted on the other one is shown for good"
+    );
+}
+
+#[test]
+fn a_process_stopped_across_two_versions_runs_nothing_under_the_old_one() {
+    let mut fleet = fleet(5, 3, json!({}));
+    let first = fleet.publish(0, &levels(1.0), false, &[], 0).unwrap();
+    all_on(&fleet, &first);
+    assert_eq!(fleet.rpc(4), Told::Ok);
+    fleet.pause(4, true).unwrap();
+    std::thread::sleep(Duration::from_millis(2_500));
+    let second = fleet.publish(0, &levels(2.0), false, &[], 0).unwrap();
+    all_on(&fleet, &second);
+    let last = fleet.publish(1, &levels(3.0), false, &[], 0).unwrap();
+    all_on(&fleet, &last);
+    fleet.pause(4, false).unwrap();
+    // Under load from the first moment on. Stated bound: three seconds after it goes on, and no RPC in between is let in.
+    let start = Instant::now();
+    let mut told = Vec::new();
+    loop {
+        let said = fleet.rpc(4);
+        let acts_on = fleet.acts_on(4).unwrap();
+        told.push(said);
+        if said == Told::Ok {
+            let late = start.elapsed() > Duration::from_secs(3);
+            assert!(acts_on == last || late, "let in under {acts_on} after {:?}: {told:?}", start.elapsed());
+            if acts_on == last {
+                break;
+            }
+        }
+        assert!(start.elapsed() < LIMIT, "{told:?}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert!(matches!(told[0], Told::PushedBack(back) if back > 0), "{told:?}");
+    assert!(fleet.logged(4, "this process was paused"), "{:?}", fleet.log(4));
+}
+
+#[test]
+fn what_can_not_be_taken_is_turned_down_with_a_reason_and_shuts_out_no_more_than_a_part() {
+    let mut fleet = fleet(5, 4, json!({"behind_s": 2}));
+    let good = fleet.publish(1, &levels(1.0), false, &[], 0).unwrap();
+    all_on(&fleet, &good);
+    let bad = fleet.publish(0, &json!({"operator": {"listen": "127.0.0.1:1"}}), true, &[], 0).unwrap();
+    let refused = |fleet: &Fleet| (0..5).all(|at| fleet.logged(at, &format!("turned version {bad} down")));
+    assert!(fleet.until(LIMIT, refused).is_some());
+    let told = |fleet: &Fleet| (0..5).any(|at| fleet.logged(at, "too many would be shut out"));
+    assert!(fleet.until(LIMIT, told).is_some());
+    let shut: Vec<usize> = (0..5).filter(|at| fleet.logged(*at, "shut out: TurnedDown")).collect();
+    assert!(shut.len() <= 1, "{shut:?}");
+    assert!((0..5).all(|at| fleet.acts_on(at).unwrap() == good), "the last good one stays");
+    let served = (0..5).filter(|at| fleet.rpc(*at) == Told::Ok).count();
+    assert!(served >= 4, "{served}");
+    let back = fleet.publish(2, &levels(2.0), true, &[], 0).unwrap();
+    all_on(&fleet, &back);
+    let open = |fleet: &Fleet| {
+        (0..5).all(|at| fleet.ask(at, &json!({"ask": "fleet_members"})).unwrap()["shut"].is_null())
+    };
+    assert!(fleet.until(LIMIT, open).is_some());
+}
+
+#[test]
+fn four_of_seven_are_replaced_under_loss_and_delay_while_a_version_spreads() {
+    let mut fleet = fleet(7, 5, json!({}));
+    fleet.links.all(Fault { loss: 0.3, delay: (100, 500), doubled: 0.05, garbled: 0.02, ..Fault::default() });
+    let version = fleet.publish(6, &levels(1.0), false, &[0.3, 1.0], 1_500).unwrap();
+    for at in 0..4 {
+        fleet.kill(at);
+        std::thread::sleep(Duration::from_millis(700));
+        fleet.boot(at).unwrap();
+    }
+    all_on(&fleet, &version);
+    assert!((0..7).all(|at| fleet.rpc(at) == Told::Ok));
+}
+
+#[test]
+fn an_operator_shuts_a_server_out_and_lets_it_in() {
+    let mut fleet = fleet(2, 6, json!({}));
+    let ask = |fleet: &Fleet, ask: &str, server: &str| {
+        fleet.ask(0, &json!({"ask": ask, "server": server})).unwrap()
+    };
+    assert!(ask(&fleet, "fleet_shut_out", "n1")["error"].as_str().unwrap().contains("ask n1 itself"));
+    assert_eq!(ask(&fleet, "fleet_shut_out", "n0")["shut_out"], "n0");
+    assert!(matches!(fleet.rpc(0), Told::PushedBack(back) if back > 0));
+    assert_eq!(fleet.rpc(1), Told::Ok);
+    assert_eq!(ask(&fleet, "fleet_let_in", "n0")["let_in"], "n0");
+    assert_eq!(fleet.rpc(0), Told::Ok);
+}
--- a/crates/coralstep-terms/src/site.rs
+++ b/crates/coralstep-terms/src/site.rs
@@ -44,6 +44,9 @@
     /// What is kept over a restart; without it nothing is.
     #[serde(default)]
     pub state: Option<StateTerms>,
+    /// How this server hears the others of its fleet; without it nothing is opened.
+    #[serde(default)]
+    pub fleet: Option<FleetTerms>,
     #[serde(default)]
     pub log: LogTerms,
 }
@@ -62,6 +65,70 @@
     10
 }
 
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetTerms {
+    /// The fleet's name: servers of another one are not heard.
+    pub name: String,
+    /// Where datagrams come in (UDP). Changes with a restart, as all of this section.
+    #[schemars(with = "String")]
+    pub listen: SocketAddr,
+    /// Where peers reach it; `listen` where left out.
+    #[serde(default)]
+    #[schemars(with = "Option<String>")]
+    pub advertise: Option<SocketAddr>,
+    /// Where others may be found at the start.
+    #[schemars(with = "Vec<String>")]
+    pub peers: Vec<SocketAddr>,
+    /// Datagrams from elsewhere are not read.
+    #[serde(default = "loopback")]
+    #[schemars(with = "Vec<String>")]
+    pub networks: Vec<IpNet>,
+    /// Seconds behind the version to be acted on before this server is shut out. 1 to 3600.
+    #[serde(default = "thirty")]
+    pub behind_s: u32,
+    /// Seconds without any other member before `silent` holds. 1 to 3600.
+    #[serde(default = "thirty")]
+    pub silent_s: u32,
+    /// What it does where it hears nobody.
+    #[serde(default)]
+    pub silent: Silent,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Silent {
+    #[default]
+    Serve,
+    ShutOut,
+}
+
+fn loopback() -> Vec<IpNet> {
+    ["127.0.0.0/8", "::1/128"].iter().filter_map(|net| net.parse().ok()).collect()
+}
+
+fn thirty() -> u32 {
+    30
+}
+
+/// Peers and networks at the most.
+const PEERS_MOST: usize = 256;
+
+impl FleetTerms {
+    fn check(&self) -> Result<(), String> {
+        within("fleet.name", self.name.len(), 1, 64)?;
+        within("fleet.peers", self.peers.len(), 0, PEERS_MOST)?;
+        within("fleet.networks", self.networks.len(), 1, PEERS_MOST)?;
+        within("fleet.behind_s", self.behind_s, 1, 3_600)?;
+        within("fleet.silent_s", self.silent_s, 1, 3_600)?;
+        let at = self.advertise.unwrap_or(self.listen);
+        if at.ip().is_unspecified() {
+            return Err(format!("fleet.advertise: nobody reaches {at}"));
+        }
+        Ok(())
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct OperatorTerms {
@@ -325,9 +392,38 @@
         if let Some(state) = &self.state {
             within("state.every_s", state.every_s, 1, 3_600)?;
         }
+        self.fleet.as_ref().map_or(Ok(()), FleetTerms::check)?;
         self.applications.as_ref().map_or(Ok(()), |applications| applications.check(names))
     }
 
+    /// What a version of the fleet's settings would make of this site: only the sections that may change live, and only those that this
+    /// server has.
+    pub fn with_version(&self, content: &str, names: &Names) -> Result<SiteTerms, String> {
+        let version = SiteTerms::read(content)?;
+        let fixed = [
+            ("operator", version.operator.is_some()),
+            ("state", version.state.is_some()),
+            ("fleet", version.fleet.is_some()),
+            ("log", version.log != LogTerms::default()),
+            ("levels", version.levels.is_some() && self.levels.is_none()),
+            ("scgi", version.scgi.is_some() && self.scgi.is_none()),
+            ("applications", version.applications.is_some() && self.applications.is_none()),
+        ];
+        if let Some((key, _)) = fixed.iter().find(|(_, named)| *named) {
+            return Err(format!("{key}: changes only with a restart"));
+        }
+        let mut site = self.clone();
+        site.levels = version.levels.or(site.levels);
+        site.applications = version.applications.or(site.applications);
+        if let (Some(mut scgi), Some(old)) = (version.scgi, &self.scgi) {
+            // Where it listens stays; routes and all else are the version's.
+            scgi.listen.clone_from(&old.listen);
+            site.scgi = Some(scgi);
+        }
+        site.check(names)?;
+        Ok(site)
+    }
+
     /// The schema of the file, as JSON text.
     pub fn schema() -> String {
         let schema = schemars::schema_for!(SiteTerms);
