--- a/crates/coralstep-fleet/src/audit.rs
+++ b/crates/coralstep-fleet/src/audit.rs
@@ -63,6 +63,14 @@
         self.entries.push_back(entry);
     }
 
+    /// Goes on where a record left off.
+    pub fn resume(entries: Vec<Entry>) -> Result<Chain, Broken> {
+        verify(entries.iter())?;
+        let last = entries.last().map_or([0; 12], Entry::sum);
+        let count = entries.last().map_or(0, |entry| entry.number.wrapping_add(1));
+        Ok(Chain { entries: entries.into(), last, count })
+    }
+
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.iter()
     }
@@ -244,6 +252,8 @@
         let mut changed = entries.clone();
         changed[1].rpcs += 1;
         assert_eq!(verify(changed.iter()), Err(Broken::Changed(2)));
+        let resumed = Chain::resume(entries.clone()).unwrap();
+        assert_eq!(resumed.head(), chain.head());
         let mut gap = entries;
         gap.remove(2);
         assert_eq!(verify(gap.iter()), Err(Broken::Gap(3)));
--- a/crates/coralstep-fleet/src/fleet.rs
+++ b/crates/coralstep-fleet/src/fleet.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use crate::Ms;
-use crate::audit::{Chain, Filter, Others, Row};
+use crate::audit::{Chain, Entry, Filter, Others, Row};
 use crate::clock::Clock;
 use crate::envelope::{self, Datagram, Fault, Rider, SENT_MOST};
 use crate::members::{Change, Member, Members, State};
@@ -376,7 +376,7 @@
         let fetches = self.caught_up.is_some_and(|since| now < since + RESUME) && target > self.acting.id;
         let waits = self.versions.since(target).is_some_and(|since| {
             let due = self.versions.held(target).and_then(|version| version.due_ms(&self.terms.own.name));
-            self.stopped == Some(target) || due.is_none_or(|due| now < since + due)
+            self.stopped == Some(target) || due.is_none_or(|due| since > 0 && now < since + due)
         });
         let behind = self.behind.filter(|(_, until)| now >= *until).map(|(id, _)| Shut::Behind(id));
         let out = (must && turned_down).then_some(Shut::TurnedDown(newest)).or(behind);
@@ -430,7 +430,8 @@
         }
         let (version, due) = (version.clone(), version.due_ms(&self.terms.own.name)?);
         // From when it came here, on this server's own clock: wall clocks may be an hour apart.
-        if now < self.versions.since(id)?.saturating_add(due) {
+        let since = self.versions.since(id)?;
+        if since > 0 && now < since.saturating_add(due) {
             return None;
         }
         // A wave stops where those before it turned it down or do worse; the first has none before it.
@@ -476,6 +477,26 @@
         self.say();
     }
 
+    /// What is to be kept over a restart: the version that it acts on, and its record.
+    pub fn record(&self) -> (Vec<u8>, Vec<Vec<u8>>) {
+        let acts_on = self.versions.blob(self.acting.id).unwrap_or_default().to_vec();
+        (
+            acts_on,
+            self.chain.entries().map(|entry| postcard::to_allocvec(entry).unwrap_or_default()).collect(),
+        )
+    }
+
+    /// Takes in what was kept; the version is to be checked again, and its record is believed only where it hangs together.
+    pub fn restore(&mut self, acts_on: &[u8], entries: &[Vec<u8>]) -> Option<Id> {
+        let entries: Option<Vec<Entry>> =
+            entries.iter().map(|entry| postcard::from_bytes(entry).ok()).collect();
+        match entries.and_then(|entries| Chain::resume(entries).ok()) {
+            Some(chain) => self.chain = chain,
+            None => self.event(Event::RecordChanged(self.terms.own.name.clone())),
+        }
+        self.versions.restore(acts_on)
+    }
+
     /// An operator publishes here.
     pub fn publish(
         &mut self,
--- a/crates/coralstep-fleet/src/members.rs
+++ b/crates/coralstep-fleet/src/members.rs
@@ -21,9 +21,11 @@
 pub const FORGET: Duration = Duration::from_secs(60);
 /// Bytes of a message of foca's; the rest of a datagram is the riders'.
 pub const PACKET: usize = 600;
-/// Between two looks for the listed peers: while nobody is known, and else (two halves that forgot each other meet so).
-const SEEDS_ALONE: Ms = 1_000;
+/// Between two looks for the listed peers: at first and while nobody is known, and else (two halves that forgot each other meet so).
+const SEEDS_FIRST: Ms = 1_000;
 const SEEDS: Ms = 10_000;
+/// Looks at first: those who start together meet in pairs, and the pairs have to meet, too.
+const FIRST: usize = 15;
 /// Letters of a name.
 pub const NAME_MOST: usize = 64;
 /// Timers that may wait; foca has a few for itself and two for each suspect.
@@ -210,7 +212,8 @@
             let Some(Reverse(Waits(_, _, event))) = self.outside.timers.pop() else { break };
             let _ = self.foca.handle_timer(event, &mut self.outside);
         }
-        let every = if self.foca.num_members() == 0 { SEEDS_ALONE } else { SEEDS };
+        let first = self.foca.num_members() == 0 || self.next_seed < FIRST;
+        let every = if first { SEEDS_FIRST } else { SEEDS };
         if !self.seeds.is_empty() && self.sought.is_none_or(|sought| now >= sought + every) {
             self.sought = Some(now);
             let at = self.seeds[self.next_seed % self.seeds.len()];
--- a/crates/coralstep-fleet/src/versions.rs
+++ b/crates/coralstep-fleet/src/versions.rs
@@ -85,6 +85,13 @@
         postcard::to_allocvec(self).unwrap_or_default()
     }
 
+    /// A version from its bytes alone, with the id that they are bound to.
+    pub fn of(blob: &[u8]) -> Option<(Id, Version)> {
+        let number = postcard::from_bytes::<Version>(blob).ok()?.number;
+        let id = Id { number, hash: hash(blob) };
+        Some((id, Version::read(id, blob)?))
+    }
+
     fn read(id: Id, blob: &[u8]) -> Option<Version> {
         let version: Version = postcard::from_bytes(blob).ok().filter(|_| hash(blob) == id.hash)?;
         let waves = version.waves.len() <= 16 && version.waves.iter().all(|part| (0.0..=1.0).contains(part));
@@ -238,6 +245,17 @@
         }
     }
 
+    /// One that was held before a restart: its wave is over.
+    pub fn restore(&mut self, blob: &[u8]) -> Option<Id> {
+        let (id, version) = Version::of(blob)?;
+        self.keep(0, id, version, blob.to_vec());
+        Some(id)
+    }
+
+    pub fn blob(&self, id: Id) -> Option<&[u8]> {
+        self.held.get(&id).map(|held| held.blob.as_slice())
+    }
+
     /// Somebody knows of `id`.
     pub fn heard_of(&mut self, id: Id) {
         if id > self.heard_of && id.number <= self.newest().number.saturating_add(AHEAD_MOST) {
--- a/crates/coralstep-lab/src/fleet/processes.rs
+++ b/crates/coralstep-lab/src/fleet/processes.rs
@@ -61,6 +61,8 @@
     more: Value,
     control: UdpSocket,
     sent: u64,
+    /// Processes that are booted from now on keep a folder over their restarts.
+    pub keeps: bool,
 }
 
 impl Drop for Fleet {
@@ -84,12 +86,27 @@
         std::fs::create_dir_all(&folder)?;
         let control = UdpSocket::bind("127.0.0.1:0")?;
         let processes = (0..count).map(|_| None).collect();
-        let mut fleet =
-            Fleet { program: program.to_owned(), folder, links, processes, more, control, sent: 0 };
+        let mut fleet = Fleet {
+            program: program.to_owned(),
+            folder,
+            links,
+            processes,
+            more,
+            control,
+            sent: 0,
+            keeps: false,
+        };
         (0..count).try_for_each(|at| fleet.boot(at))?;
         Ok(fleet)
     }
 
+    /// All are killed and started again, with a folder that outlives them from now on.
+    pub fn reboot(&mut self) -> std::io::Result<()> {
+        self.keeps = true;
+        self.processes.iter_mut().for_each(|process| *process = None);
+        (0..self.count()).try_for_each(|at| self.boot(at))
+    }
+
     /// Starts process `at`, in place of the one that was there.
     pub fn boot(&mut self, at: usize) -> std::io::Result<()> {
         self.processes[at] = None;
@@ -119,11 +136,14 @@
         if let (Some(section), Some(more)) = (section.as_object_mut(), self.more.as_object()) {
             section.extend(more.clone());
         }
-        let site = json!({
+        let mut site = json!({
             "fleet": section, "operator": {"listen": "127.0.0.1:0"}, "levels": {},
             "scgi": {"listen": ["127.0.0.1:0"], "routes": [{"verb": "POST", "path": "/save", "method": METHOD}],
                 "headers": {"token": "HTTP_IDEMPOTENCY_KEY"}},
         });
+        if self.keeps {
+            site["state"] = json!({"folder": self.folder.join(format!("state-{at}"))});
+        }
         let (config_file, site_file) =
             (self.folder.join(format!("config-{at}.json")), self.folder.join(format!("site-{at}.json")));
         std::fs::write(&config_file, config.to_string())?;
@@ -269,6 +289,14 @@
         self.running().into_iter().all(|at| self.acts_on(at).is_ok_and(|on| on == version))
     }
 
+    /// CPU seconds that process `at` has used.
+    pub fn cpu(&self, at: usize) -> f64 {
+        let Some(process) = &self.processes[at] else { return 0.0 };
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", process.child.id())).unwrap_or_default();
+        let after = stat.rsplit_once(") ").map_or("", |(_, after)| after);
+        after.split(' ').skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0
+    }
+
     pub fn logged(&self, at: usize, text: &str) -> bool {
         self.processes[at]
             .as_ref()
--- a/crates/coralstep-server/src/fleet/carrier.rs
+++ b/crates/coralstep-server/src/fleet/carrier.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, UdpSocket};
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -11,6 +12,7 @@
 use coralstep_fleet::audit::Filter;
 use coralstep_fleet::envelope::READ_MOST;
 use coralstep_fleet::{Event, Fleet, Id, Member, Ms, State};
+use coralstep_state::record::Record;
 use coralstep_terms::site::{FleetTerms, Silent};
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
@@ -18,6 +20,7 @@
 use serde_json::{Value, json};
 
 use crate::decisions::facade::Facade;
+use crate::fleet::record::Recorder;
 use crate::note;
 
 /// Between two ticks.
@@ -40,6 +43,9 @@
     /// Datagrams that were not sent for it, and not believed.
     held_back: Cell<u64>,
     faults: Cell<u64>,
+    recorder: Option<Recorder>,
+    /// The record has changed and was not handed over yet.
+    changed: Cell<bool>,
 }
 
 fn wall_ms() -> u64 {
@@ -78,7 +84,8 @@
 }
 
 impl Carrier {
-    pub fn bind(terms: &FleetTerms, name: &str, seed: u64) -> Result<Carrier, String> {
+    /// `folder`: where the record is kept, where it is.
+    pub fn bind(terms: &FleetTerms, name: &str, seed: u64, folder: Option<&Path>) -> Result<Carrier, String> {
         let socket = UdpSocket::bind(terms.listen).and_then(Async::new);
         let socket = socket.map_err(|why| format!("fleet.listen: {}: {why}", terms.listen))?;
         let bound = socket.get_ref().local_addr().map_err(|why| format!("fleet.listen: {why}"))?;
@@ -96,8 +103,19 @@
             silent_shuts: terms.silent == Silent::ShutOut,
             seed,
         };
+        let mut fleet = Fleet::new(terms_, 0, wall_ms());
+        let recorder = folder.and_then(Recorder::start).map(|(recorder, found)| {
+            if !(found.acts_on.is_empty() && found.entries.is_empty())
+                && let Some(id) = fleet.restore(&found.acts_on, &found.entries)
+            {
+                note!("fleet: version {id} was acted on before the restart");
+            }
+            recorder
+        });
         Ok(Carrier {
-            fleet: RefCell::new(Fleet::new(terms_, 0, wall_ms())),
+            recorder,
+            changed: Cell::new(false),
+            fleet: RefCell::new(fleet),
             socket,
             networks: terms.networks.clone(),
             start,
@@ -176,10 +194,19 @@
             let taken = take(&version.content);
             let mut fleet = self.fleet.borrow_mut();
             match taken {
-                Ok(()) => fleet.took(now, wall_ms(), id),
+                Ok(()) => {
+                    fleet.took(now, wall_ms(), id);
+                    self.changed.set(true);
+                }
                 Err(why) => fleet.turned_down(now, id, &why),
             }
         }
+        if self.changed.get()
+            && let Some(recorder) = &self.recorder
+        {
+            let (acts_on, entries) = self.fleet.borrow().record();
+            self.changed.set(!recorder.save(Record { acts_on, entries }));
+        }
         facade.obey();
     }
 
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -92,8 +92,12 @@
     }
     // Guards against an operator who has read where the server listens and finds no door of theirs yet.
     let operator = site.operator.as_ref().map(|terms| Operator::bind(&terms.listen)).transpose()?;
-    let carrier =
-        site.fleet.as_ref().map(|terms| Carrier::bind(terms, &config.name, config.seed)).transpose()?;
+    let folder = site.state.as_ref().map(|terms| terms.folder.as_path());
+    let carrier = site
+        .fleet
+        .as_ref()
+        .map(|terms| Carrier::bind(terms, &config.name, config.seed, folder))
+        .transpose()?;
     let carrier = carrier.map(Rc::new);
     let leaving = Cell::new(false);
     for (listener, _, what) in &listeners {
--- a/crates/coralstep-server/tests/fleet.rs
+++ b/crates/coralstep-server/tests/fleet.rs
@@ -185,3 +185,139 @@
     assert_eq!(ask(&fleet, "fleet_let_in", "n0")["let_in"], "n0");
     assert_eq!(fleet.rpc(0), Told::Ok);
 }
+
+#[test]
+fn all_are_killed_and_started_and_one_comes_back_with_an_older_version() {
+    let mut fleet = fleet(4, 7, json!({}));
+    fleet.reboot().unwrap();
+    let first = fleet.publish(0, &levels(1.0), false, &[], 0).unwrap();
+    all_on(&fleet, &first);
+    // Written by a thread of its own, which says nothing: what it wrote is what counts.
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.reboot().unwrap();
+    all_on(&fleet, &first);
+    let kept = audit(&fleet, 2).iter().filter(|row| row["server"] == "n2" && !row["to_ms"].is_null()).count();
+    assert!(kept >= 1, "its record went on: {:?}", audit(&fleet, 2));
+    fleet.kill(3);
+    let second = fleet.publish(1, &levels(2.0), false, &[], 0).unwrap();
+    all_on(&fleet, &second);
+    fleet.boot(3).unwrap();
+    all_on(&fleet, &second);
+    assert!(
+        fleet.logged(3, &format!("version {first} was acted on before the restart")),
+        "{:?}",
+        fleet.log(3)
+    );
+}
+
+#[test]
+fn one_way_cuts_three_parts_and_a_link_that_flaps_each_second() {
+    let fleet = fleet(6, 8, json!({}));
+    let cut = Fault { cut: true, ..Fault::default() };
+    // Who hears but isn't heard; three parts; flapping.
+    fleet.links.set(&[0], &[1, 2, 3, 4, 5], cut);
+    std::thread::sleep(Duration::from_secs(2));
+    let one = fleet.publish(3, &levels(1.0), false, &[], 0).unwrap();
+    let heard = |fleet: &Fleet| (1..6).all(|at| fleet.acts_on(at).is_ok_and(|on| on == one));
+    assert!(fleet.until(LIMIT, heard).is_some());
+    fleet.links.heal();
+    all_on(&fleet, &one);
+    fleet.links.cut(&[0, 1], &[2, 3, 4, 5]);
+    fleet.links.cut(&[2, 3], &[4, 5]);
+    let two = fleet.publish(2, &levels(2.0), false, &[], 0).unwrap();
+    let part = |fleet: &Fleet| [2, 3].iter().all(|at| fleet.acts_on(*at).is_ok_and(|on| on == two));
+    assert!(fleet.until(LIMIT, part).is_some());
+    fleet.links.heal();
+    all_on(&fleet, &two);
+    let three = fleet.publish(5, &levels(3.0), false, &[], 0).unwrap();
+    for flap in 0..6 {
+        match flap % 2 {
+            0 => fleet.links.cut(&[0, 1, 2], &[3, 4, 5]),
+            _ => fleet.links.heal(),
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    fleet.links.heal();
+    all_on(&fleet, &three);
+}
+
+#[test]
+fn the_only_holder_is_killed_while_others_fetch_and_nobody_is_left_behind() {
+    let mut fleet = fleet(5, 9, json!({"behind_s": 3}));
+    let first = fleet.publish(1, &levels(1.0), false, &[], 0).unwrap();
+    all_on(&fleet, &first);
+    // Large, over links that lose a third: it takes a while to come.
+    fleet.links.all(Fault { loss: 0.3, delay: (50, 150), ..Fault::default() });
+    let route = |at| json!({"verb": "POST", "path": format!("/save/{at}"), "method": "save"});
+    let routes: Vec<Value> = (0..200).map(route).collect();
+    let scgi =
+        json!({"listen": ["127.0.0.1:0"], "routes": routes, "headers": {"token": "HTTP_IDEMPOTENCY_KEY"}});
+    let content = json!({ "scgi": scgi });
+    let second = fleet.publish(0, &content, false, &[], 0).unwrap();
+    std::thread::sleep(Duration::from_millis(700));
+    fleet.kill(0);
+    fleet.links.heal();
+    // Either some had it whole, then all come to act on it, or nobody does and the last good one stays.
+    let settled = |fleet: &Fleet| fleet.all_on(&second) || fleet.all_on(&first);
+    assert!(fleet.until(LIMIT, settled).is_some());
+    let last = fleet.publish(2, &levels(3.0), false, &[], 0).unwrap();
+    all_on(&fleet, &last);
+    let open = |fleet: &Fleet| {
+        (1..5).all(|at| fleet.ask(at, &json!({"ask": "fleet_members"})).unwrap()["shut"].is_null())
+    };
+    assert!(fleet.until(LIMIT, open).is_some());
+    // One that leaves says so before it drains, also where it has just begun to fetch.
+    fleet.publish(1, &content, false, &[], 0).unwrap();
+    fleet.leave(4).unwrap();
+    let left = |fleet: &Fleet| {
+        let said = fleet.ask(1, &json!({"ask": "fleet_members"})).unwrap();
+        let members = said["members"].as_array().unwrap();
+        members.iter().any(|member| member["server"] == "n4" && member["state"] == "leaving")
+    };
+    assert!(fleet.until(LIMIT, left).is_some());
+}
+
+/// COUNT processes: when half and all act on a version, without faults and with 30% loss and 100 to 500 ms of delay; bytes and CPU.
+///
+///     COUNT=50 cargo test --release -p coralstep-server --test fleet -- --ignored --nocapture
+#[test]
+#[ignore = "minutes; figures for docs/fleet.md"]
+fn by_hand_many_processes() {
+    let count = std::env::var("COUNT").map_or(50, |count| count.parse().unwrap());
+    let fleet = Fleet::start(program(), count, 11, json!({})).unwrap();
+    let met = |fleet: &Fleet| fleet.alive(count / 2).is_ok_and(|alive| alive == count);
+    println!("{count} met after {:?}", fleet.until(LIMIT * 3, met));
+    std::thread::sleep(Duration::from_secs(10));
+    let figures = |fleet: &Fleet| {
+        let bytes: u64 = (0..count).map(|at| fleet.links.sent(at).1).sum();
+        (bytes as f64 / count as f64, (0..count).map(|at| fleet.cpu(at)).sum::<f64>() / count as f64)
+    };
+    let (before, start) = (figures(&fleet), Instant::now());
+    std::thread::sleep(Duration::from_secs(20));
+    let (after, span) = (figures(&fleet), start.elapsed().as_secs_f64());
+    println!(
+        "idle: {:.0} bytes a second, {:.2}% of a core",
+        (after.0 - before.0) / span,
+        (after.1 - before.1) / span * 100.0
+    );
+    for (name, fault) in
+        [("calm", Fault::default()), ("rough", Fault { loss: 0.3, delay: (100, 500), ..Fault::default() })]
+    {
+        fleet.links.all(fault);
+        let version =
+            fleet.publish(0, &levels(if name == "calm" { 1.0 } else { 2.0 }), false, &[], 0).unwrap();
+        let (start, mut half) = (Instant::now(), None);
+        let all = fleet.until(LIMIT * 5, |fleet| {
+            let on = (0..count).filter(|at| fleet.logged(*at, &format!("acts on version {version}"))).count();
+            if on * 2 >= count {
+                half.get_or_insert(start.elapsed());
+            }
+            on == count
+        });
+        println!("{name}: half after {half:?}, all after {all:?}");
+    }
+    let gone = (0..count)
+        .map(|at| fleet.log(at).iter().filter(|line| line.ends_with(" is gone")).count())
+        .sum::<usize>();
+    println!("taken for gone while they ran: {gone} times");
+}
--- a/crates/coralstep-state/src/frame.rs
+++ b/crates/coralstep-state/src/frame.rs
@@ -11,6 +11,7 @@
 pub enum Kind {
     Learned = 1,
     Tokens = 2,
+    Fleet = 3,
 }
 
 /// Magic, kind, version: eleven bytes.
--- a/crates/coralstep-state/src/lib.rs
+++ b/crates/coralstep-state/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod files;
 pub mod frame;
 pub mod journal;
+pub mod record;
 pub mod schedule;
 pub mod snapshot;
 pub mod trust;
