--- a/crates/coralstep-fleet/src/fleet.rs
+++ b/crates/coralstep-fleet/src/fleet.rs
@@ -120,7 +120,7 @@
     behind: Option<(Id, Ms)>,
     /// Since when it would shut itself out for a version.
     wants_out: Option<Ms>,
-    /// Since when it hears nobody.
+    /// When it last heard anybody.
     alone: Ms,
     /// Since when it goes on after a pause, and its first datagram from then on: what doesn't echo that may have been said before.
     resumed: Option<(Ms, u64)>,
@@ -196,6 +196,8 @@
             self.echoes.clear();
         }
         self.echoes.insert(datagram.from.at, datagram.number);
+        // Not by the members: a large fleet is taken for gone one by one, which takes minutes.
+        self.alone = now;
         for (rider, bytes) in &datagram.parts {
             match rider {
                 Rider::Members => self.members.heard(now, bytes),
@@ -307,9 +309,6 @@
         self.acting.now = counts;
         self.members.tick(now);
         self.words.forget(now);
-        if self.members.count() > 0 {
-            self.alone = now;
-        }
         if now >= self.own_due {
             self.own_due = now + OWN;
             self.say();
@@ -390,7 +389,11 @@
             () if self.resumed.is_some_and(|(resumed, _)| now < resumed + RESUME) => Some(Shut::Paused),
             () if fetches && !waits => Some(Shut::Paused),
             () if out.is_some() => out,
-            () if self.terms.silent_shuts && now.saturating_sub(self.alone) > self.terms.silent => {
+            // Who has nobody to hear is not cut off.
+            () if self.terms.silent_shuts
+                && !self.terms.peers.is_empty()
+                && now.saturating_sub(self.alone) > self.terms.silent =>
+            {
                 Some(Shut::Silent)
             }
             () => None,
--- a/crates/coralstep-lab/src/cli/mod.rs
+++ b/crates/coralstep-lab/src/cli/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod experiment;
 pub mod explore;
+pub mod fleet;
 pub mod load;
 pub mod simulate;
 pub mod sockets;
--- /dev/null
+++ b/crates/coralstep-lab/src/fleet/judge.rs
@@ -0,0 +1,150 @@
+//! What must hold at every moment of a play of processes, judged by what is seen from outside and by what each says of itself.
+use std::collections::HashMap;
+
+use serde::Serialize;
+
+/// One process at one moment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub at_ms: u64,
+    pub process: usize,
+    /// Rises with each start.
+    pub life: u64,
+    /// Number and hash of the version it says it acts on.
+    pub acts_on: (u64, String),
+    pub shut: bool,
+}
+
+/// What must not be.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(tag = "breach", rename_all = "snake_case")]
+pub enum Breach {
+    /// A process went back to an older version without a restart.
+    Back { at_ms: u64, process: usize, from: String, to: String },
+    /// More are shut out for a version than may be.
+    TooManyOut { at_ms: u64, out: usize, most: usize },
+    /// After a stop it ran an RPC under a version older than what all others had long acted on.
+    RanOld { at_ms: u64, process: usize, version: String },
+    /// An RPC got no answer.
+    NoAnswer { at_ms: u64, process: usize },
+    /// At the end not all act on one version.
+    Apart { versions: Vec<String> },
+}
+
+/// Moments that many may be out together while their words are still under way, in milliseconds.
+const UNDER_WAY: u64 = 2_000;
+/// After a stop nothing is let in under an old version for so long (`docs/fleet.md`).
+pub const HELD: u64 = 3_000;
+
+#[derive(Default)]
+pub struct Judge {
+    last: HashMap<usize, Seen>,
+    over: Option<u64>,
+    pub breaches: Vec<Breach>,
+    /// When a process went on after a stop, and the version that all others acted on then.
+    resumed: HashMap<usize, (u64, u64)>,
+}
+
+impl Judge {
+    pub fn seen(&mut self, seen: Seen) {
+        if let Some(before) = self.last.get(&seen.process)
+            && before.life == seen.life
+            && before.acts_on > seen.acts_on
+        {
+            let name = |of: &Seen| format!("{}-{}", of.acts_on.0, of.acts_on.1);
+            let (from, to) = (name(before), name(&seen));
+            self.breaches.push(Breach::Back { at_ms: seen.at_ms, process: seen.process, from, to });
+        }
+        let at_ms = seen.at_ms;
+        self.last.insert(seen.process, seen);
+        // Three tenths, one of three to six: by the formula in docs/fleet.md.
+        let all = self.last.len();
+        let most = ((all as f64 * 0.3) as usize).max(usize::from(all >= 3));
+        let out = self.last.values().filter(|seen| seen.shut).count();
+        if out <= most {
+            self.over = None;
+        } else if at_ms >= *self.over.get_or_insert(at_ms) + UNDER_WAY {
+            self.breaches.push(Breach::TooManyOut { at_ms, out, most });
+            self.over = Some(at_ms);
+        }
+    }
+
+    /// It doesn't run any more.
+    pub fn gone(&mut self, process: usize) {
+        self.last.remove(&process);
+    }
+
+    /// It goes on after a stop of over two seconds.
+    pub fn resumed(&mut self, at_ms: u64, process: usize) {
+        let others = self.last.values().filter(|seen| seen.process != process).map(|seen| seen.acts_on.0);
+        if let Some(least) = others.min() {
+            self.resumed.insert(process, (at_ms, least));
+        }
+    }
+
+    /// A process answered an RPC well; right after that it said that it acts on version `number`.
+    pub fn ran(&mut self, at_ms: u64, process: usize, number: u64) {
+        if let Some((since, least)) = self.resumed.get(&process)
+            && at_ms < since + HELD
+            && number < *least
+        {
+            self.breaches.push(Breach::RanOld { at_ms, process, version: number.to_string() });
+        }
+    }
+
+    pub fn no_answer(&mut self, at_ms: u64, process: usize) {
+        self.breaches.push(Breach::NoAnswer { at_ms, process });
+    }
+
+    /// The play is over, and there was time to come together.
+    pub fn end(&mut self) {
+        let mut versions: Vec<String> =
+            self.last.values().map(|seen| format!("{}-{}", seen.acts_on.0, seen.acts_on.1)).collect();
+        versions.sort();
+        versions.dedup();
+        if versions.len() > 1 {
+            self.breaches.push(Breach::Apart { versions });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn seen(at_ms: u64, process: usize, number: u64) -> Seen {
+        Seen { at_ms, process, life: 1, acts_on: (number, "a".to_owned()), shut: false }
+    }
+
+    #[test]
+    fn each_process_that_cheats_is_caught() {
+        let mut judge = Judge::default();
+        (0..4).for_each(|process| judge.seen(seen(0, process, 2)));
+        judge.end();
+        assert_eq!(judge.breaches, [], "nobody cheats");
+        judge.seen(seen(10, 1, 1));
+        assert!(matches!(judge.breaches[..], [Breach::Back { process: 1, .. }]));
+        judge.seen(Seen { life: 2, ..seen(20, 2, 0) });
+        assert_eq!(judge.breaches.len(), 1, "a restart may know nothing");
+        judge.end();
+        assert!(matches!(judge.breaches[1], Breach::Apart { .. }));
+        // Two of four out: for longer than words take.
+        for at_ms in [100, 1_000, 2_200] {
+            judge.seen(Seen { shut: true, ..seen(at_ms, 0, 2) });
+            judge.seen(Seen { shut: true, ..seen(at_ms, 3, 2) });
+        }
+        assert!(
+            matches!(judge.breaches[2], Breach::TooManyOut { out: 2, most: 1, .. }),
+            "{:?}",
+            judge.breaches
+        );
+        let mut judge = Judge::default();
+        (0..3).for_each(|process| judge.seen(seen(0, process, 5)));
+        judge.resumed(100, 0);
+        judge.ran(200, 0, 5);
+        judge.ran(100 + HELD, 0, 4);
+        assert_eq!(judge.breaches, []);
+        judge.ran(300, 0, 4);
+        assert!(matches!(judge.breaches[..], [Breach::RanOld { process: 0, .. }]));
+    }
+}
--- a/crates/coralstep-lab/src/fleet/links.rs
+++ b/crates/coralstep-lab/src/fleet/links.rs
@@ -8,6 +8,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
 use crate::emulate::lock;
 
 /// The longest wait before a relay looks at what is due.
@@ -16,7 +19,8 @@
 const WAY_MOST: usize = 10_000;
 
 /// What a link does to datagrams.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
 pub struct Fault {
     pub cut: bool,
     pub loss: f64,
--- /dev/null
+++ b/crates/coralstep-lab/src/fleet/play.rs
@@ -0,0 +1,282 @@
+//! A play of processes: a file says how many, what load, and what happens when. What failed can be played again from the same file.
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use super::judge::{Breach, Judge, Seen};
+use super::{Fault, Fleet, Told};
+
+/// Processes and steps at the most.
+const PROCESSES_MOST: usize = 400;
+const STEPS_MOST: usize = 10_000;
+/// All processes are looked at this often.
+const LOOK: Duration = Duration::from_millis(200);
+/// After the last step and `seconds`, so long is waited for all to come together.
+const TOGETHER: Duration = Duration::from_secs(60);
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Play {
+    pub seed: u64,
+    pub processes: usize,
+    /// Further keys of the site file's `fleet`.
+    #[serde(default)]
+    pub fleet: Value,
+    /// RPCs a second, to each process in turn.
+    #[serde(default)]
+    pub rpcs: f64,
+    pub seconds: f64,
+    pub steps: Vec<Step>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// Seconds from when all have met.
+    pub at_s: f64,
+    #[serde(rename = "do")]
+    pub what: What,
+}
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    Publish {
+        at: usize,
+        content: Value,
+        #[serde(default)]
+        must: bool,
+        #[serde(default)]
+        waves: Vec<f32>,
+        #[serde(default)]
+        pause_ms: u64,
+    },
+    /// Links from each of one to each of the other do this, in that direction alone.
+    Link {
+        from: Vec<usize>,
+        to: Vec<usize>,
+        fault: Fault,
+    },
+    /// All links that have no fault of their own do this.
+    All(Fault),
+    Cut {
+        one: Vec<usize>,
+        other: Vec<usize>,
+    },
+    Heal,
+    Stop(usize),
+    Continue(usize),
+    Kill(usize),
+    Boot(usize),
+}
+
+/// What a play came to.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    pub met_ms: u64,
+    pub ok: u64,
+    pub pushed_back: u64,
+    pub aborted: u64,
+    /// From the end until all acted on one version.
+    pub together_ms: Option<u64>,
+    pub bytes_a_second: f64,
+    pub breaches: Vec<Breach>,
+}
+
+impl Play {
+    pub fn parse(text: &str) -> Result<Play, String> {
+        let mut reader = serde_json::Deserializer::from_str(text);
+        let play: Play = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|why| format!("{}: {}", why.path(), why.inner()))?;
+        let named = |what: &What| match what {
+            What::Publish { at, .. }
+            | What::Stop(at)
+            | What::Continue(at)
+            | What::Kill(at)
+            | What::Boot(at) => vec![*at],
+            What::Link { from, to, .. } => [&from[..], &to[..]].concat(),
+            What::Cut { one, other } => [&one[..], &other[..]].concat(),
+            What::All(_) | What::Heal => Vec::new(),
+        };
+        if !(1..=PROCESSES_MOST).contains(&play.processes) {
+            return Err(format!("processes: {} is not from 1 to {PROCESSES_MOST}", play.processes));
+        }
+        if !(0.0..=86_400.0).contains(&play.seconds) || !(0.0..=10_000.0).contains(&play.rpcs) {
+            return Err("seconds: 0 to 86400, rpcs: 0 to 10000".to_owned());
+        }
+        if play.steps.len() > STEPS_MOST {
+            return Err(format!("steps: {} are more than {STEPS_MOST}", play.steps.len()));
+        }
+        for (number, step) in play.steps.iter().enumerate() {
+            if let Some(at) = named(&step.what).into_iter().find(|at| *at >= play.processes) {
+                return Err(format!("steps[{number}]: there is no process {at}"));
+            }
+            if !step.at_s.is_finite() || step.at_s < 0.0 {
+                return Err(format!("steps[{number}].at_s: {} is no time", step.at_s));
+            }
+        }
+        Ok(play)
+    }
+
+    pub fn schema() -> String {
+        let mut text = serde_json::to_string_pretty(&schemars::schema_for!(Play)).unwrap_or_default();
+        text.push('\n');
+        text
+    }
+
+    /// Plays it with `program`; `told` hears what happens, and `stop` ends it early.
+    pub fn run(&self, program: &Path, stop: &AtomicBool, told: impl Fn(&str)) -> std::io::Result<Report> {
+        let mut fleet = Fleet::start(program, self.processes, self.seed, self.fleet.clone())?;
+        let all = self.processes;
+        let met = |fleet: &Fleet| {
+            stop.load(Ordering::SeqCst) || (0..all).all(|at| fleet.alive(at).is_ok_and(|alive| alive == all))
+        };
+        let met = fleet.until(TOGETHER * 3, met).ok_or_else(|| std::io::Error::other("they don't meet"))?;
+        told(&format!("{all} processes met after {:.1} s", met.as_secs_f64()));
+        let mut run = Run {
+            judge: Judge::default(),
+            lives: vec![0; all],
+            stopped: vec![None; all],
+            report: Report::default(),
+        };
+        run.report.met_ms = met.as_millis() as u64;
+        let mut steps: Vec<&Step> = self.steps.iter().collect();
+        steps.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+        let (start, mut next, mut looked, mut sent) = (Instant::now(), 0, Instant::now(), 0u64);
+        while start.elapsed().as_secs_f64() < self.seconds || next < steps.len() {
+            if stop.load(Ordering::SeqCst) {
+                break;
+            }
+            let at_s = start.elapsed().as_secs_f64();
+            while let Some(step) = steps.get(next).filter(|step| step.at_s <= at_s) {
+                told(&format!("{at_s:.1} s: {}", json!(step.what)));
+                run.does(&mut fleet, &step.what, (at_s * 1000.0) as u64)?;
+                next += 1;
+            }
+            if (sent as f64) < at_s * self.rpcs {
+                run.rpc(&mut fleet, sent as usize, start);
+                sent += 1;
+            } else {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            if looked.elapsed() >= LOOK {
+                looked = Instant::now();
+                run.look(&fleet, start);
+            }
+        }
+        let bytes: u64 = (0..all).map(|at| fleet.links.sent(at).1).sum();
+        run.report.bytes_a_second = bytes as f64 / (start.elapsed() + met).as_secs_f64() / all as f64;
+        let one = |fleet: &Fleet| {
+            let on: Vec<String> =
+                fleet.running().into_iter().filter_map(|at| fleet.acts_on(at).ok()).collect();
+            on.windows(2).all(|two| two[0] == two[1])
+        };
+        run.report.together_ms = fleet.until(TOGETHER, one).map(|took| took.as_millis() as u64);
+        run.look(&fleet, start);
+        run.judge.end();
+        run.report.breaches = run.judge.breaches;
+        Ok(run.report)
+    }
+}
+
+struct Run {
+    judge: Judge,
+    lives: Vec<u64>,
+    stopped: Vec<Option<Instant>>,
+    report: Report,
+}
+
+impl Run {
+    fn does(&mut self, fleet: &mut Fleet, what: &What, at_ms: u64) -> std::io::Result<()> {
+        match what {
+            What::Publish { at, content, must, waves, pause_ms } => {
+                fleet.publish(*at, content, *must, waves, *pause_ms)?;
+            }
+            What::Link { from, to, fault } => fleet.links.set(from, to, *fault),
+            What::All(fault) => fleet.links.all(*fault),
+            What::Cut { one, other } => fleet.links.cut(one, other),
+            What::Heal => fleet.links.heal(),
+            What::Stop(at) => {
+                self.stopped[*at] = Some(Instant::now());
+                fleet.pause(*at, true)?;
+            }
+            What::Continue(at) => {
+                let long =
+                    self.stopped[*at].take().is_some_and(|since| since.elapsed() > Duration::from_secs(2));
+                if long {
+                    self.judge.resumed(at_ms, *at);
+                }
+                fleet.pause(*at, false)?;
+            }
+            What::Kill(at) => {
+                fleet.kill(*at);
+                self.judge.gone(*at);
+            }
+            What::Boot(at) => {
+                self.lives[*at] += 1;
+                fleet.boot(*at)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn rpc(&mut self, fleet: &mut Fleet, number: usize, start: Instant) {
+        let running = fleet.running();
+        let Some(at) = running.get(number % running.len().max(1)).copied() else { return };
+        match fleet.rpc(at) {
+            Told::Ok => {
+                self.report.ok += 1;
+                if let Ok(on) = fleet.acts_on(at) {
+                    self.judge.ran(start.elapsed().as_millis() as u64, at, version(&on).0);
+                }
+            }
+            Told::PushedBack(_) => self.report.pushed_back += 1,
+            Told::Aborted => self.report.aborted += 1,
+            Told::Nothing => self.judge.no_answer(start.elapsed().as_millis() as u64, at),
+        }
+    }
+
+    fn look(&mut self, fleet: &Fleet, start: Instant) {
+        for at in fleet.running() {
+            let Ok(said) = fleet.ask(at, &json!({"ask": "fleet_members"})) else { continue };
+            let own = format!("n{at}");
+            let members = said["members"].as_array().cloned().unwrap_or_default();
+            let on = members
+                .iter()
+                .find(|member| member["server"] == own.as_str())
+                .and_then(|own| own["version"].as_str());
+            // Shut out by hand, for a pause or by a cut is not for a version.
+            let shut = said["shut"].is_object();
+            let (acts_on, at_ms) = (version(on.unwrap_or("0")), start.elapsed().as_millis() as u64);
+            self.judge.seen(Seen { at_ms, process: at, life: self.lives[at], acts_on, shut });
+        }
+    }
+}
+
+/// Number and hash of a version as it is written.
+fn version(text: &str) -> (u64, String) {
+    let (number, hash) = text.split_once('-').unwrap_or((text, ""));
+    (number.parse().unwrap_or(0), hash.to_owned())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_play_is_read_and_one_that_is_at_fault_names_the_step() {
+        let text = r#"{"seed": 1, "processes": 3, "seconds": 5, "steps": [
+            {"at_s": 1, "do": {"publish": {"at": 0, "content": {}}}}, {"at_s": 2, "do": {"cut": {"one": [0], "other": [1, 2]}}},
+            {"at_s": 3, "do": "heal"}, {"at_s": 3.5, "do": {"all": {"loss": 0.3, "delay": [100, 500]}}}, {"at_s": 4, "do": {"stop": 2}}]}"#;
+        assert_eq!(Play::parse(text).unwrap().steps.len(), 5);
+        let bad = text.replace("\"stop\": 2", "\"stop\": 3");
+        assert_eq!(Play::parse(&bad).unwrap_err(), "steps[4]: there is no process 3");
+        assert!(Play::parse(&text.replace("heal", "hail")).unwrap_err().starts_with("steps[2].do"));
+        assert!(Play::schema().contains("\"publish\""));
+    }
+}
--- a/crates/coralstep-lab/src/fleet/processes.rs
+++ b/crates/coralstep-lab/src/fleet/processes.rs
@@ -43,10 +43,15 @@
     log: Arc<Mutex<Vec<String>>>,
     _engine: Engine,
     stopped: bool,
+    /// Ends the process should the laboratory be killed itself: it waits for the end of a pipe.
+    watch: Child,
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
+        // First, so that it never kills who has that number later.
+        let _ = self.watch.kill();
+        let _ = self.watch.wait();
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -155,6 +160,11 @@
             .arg(site_file)
             .stderr(Stdio::piped())
             .spawn()?;
+        let watch = Command::new("/bin/sh")
+            .args(["-c", "cat >/dev/null; kill -KILL $0"])
+            .arg(child.id().to_string())
+            .stdin(Stdio::piped())
+            .spawn()?;
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         if let Some(stderr) = child.stderr.take() {
             let log = log.clone();
@@ -169,6 +179,7 @@
             log,
             _engine: engine,
             stopped: false,
+            watch,
         };
         let start = Instant::now();
         let named = |process: &Process, before: &str, after: &str| -> Option<SocketAddr> {
--- a/crates/coralstep-lab/src/main.rs
+++ b/crates/coralstep-lab/src/main.rs
@@ -38,10 +38,12 @@
         the changed world in which the module is furthest from the best
   explore [--depth N] [--states N] [--histories N] [--length N] [--seed N] [--threads N] [--json]
         every short history of small scopes, then long ones by chance
+  fleet PLAY [--server PROGRAM] [--json]
+        processes of coralstep with a relay on every link, and what PLAY does to them; judged at every moment
   report WORLD [--policy P] [--seed N] --out PAGE
         a page about a day
-  worlds, schema
-        the worlds that come with it; the schema of a world
+  worlds, schema, fleet-schema
+        the worlds that come with it; the schema of a world, of a play of processes
 
 WORLD is a file, or the name of one that comes with it. P is module, plain, no-breaker, static or codel. Exit status: 0;
 1 where a rule was broken, a figure is void, or something is at fault; 2 for a call that is not understood.
@@ -241,6 +243,8 @@
         match words[..] {
             _ if self.help => print!("{USAGE}"),
             ["schema"] => print!("{}", World::schema()),
+            ["fleet-schema"] => print!("{}", coralstep_lab::fleet::play::Play::schema()),
+            ["fleet", play] => return Ok(cli::fleet::play(play, self.server.clone(), json)?),
             ["worlds"] => {
                 for (name, text) in WORLDS {
                     let world = World::parse(text)?;
