--- a/crates/coralstep-fleet/src/fleet.rs
+++ b/crates/coralstep-fleet/src/fleet.rs
@@ -373,10 +373,8 @@
         }
         // What it hears of after a pause comes first; a wave that is still to come is nothing to wait for.
         let fetches = self.caught_up.is_some_and(|since| now < since + RESUME) && target > self.acting.id;
-        let waits = self.versions.since(target).is_some_and(|since| {
-            let due = self.versions.held(target).and_then(|version| version.due_ms(&self.terms.own.name));
-            self.stopped == Some(target) || due.is_none_or(|due| since > 0 && now < since + due)
-        });
+        let waits = self.versions.held(target).is_some()
+            && (self.stopped == Some(target) || !self.is_due(now, target));
         let behind = self.behind.filter(|(_, until)| now >= *until).map(|(id, _)| Shut::Behind(id));
         let out = (must && turned_down).then_some(Shut::TurnedDown(newest)).or(behind);
         if out.is_some() != self.wants_out.is_some() {
@@ -425,16 +423,29 @@
         may
     }
 
+    /// Whether this server's wave of a version that it holds has come: by its own clock since the version came here (wall clocks may be an hour
+    /// apart), or because others of the same or a later wave act on it. Guards against a server that was away, and would begin to count
+    /// where all others are long done.
+    fn is_due(&self, now: Ms, id: Id) -> bool {
+        let (Some(version), Some(since)) = (self.versions.held(id), self.versions.since(id)) else {
+            return false;
+        };
+        let Some(wave) = version.wave(&self.terms.own.name) else { return false };
+        let due = version.due_ms(&self.terms.own.name).unwrap_or(0);
+        let reached = |word: &Word| {
+            word.acts_on == id && version.wave(&word.of.name).is_some_and(|other| other >= wave)
+        };
+        since == 0 || now >= since.saturating_add(due) || self.words.all().any(|heard| reached(&heard.word))
+    }
+
     /// The version to be checked and taken now, where there is one: its wave is due and was not stopped.
     pub fn pending(&mut self, now: Ms) -> Option<(Id, Version)> {
         let (id, version) = self.versions.wanted()?;
         if id <= self.acting.id || self.leaving {
             return None;
         }
-        let (version, due) = (version.clone(), version.due_ms(&self.terms.own.name)?);
-        // From when it came here, on this server's own clock: wall clocks may be an hour apart.
-        let since = self.versions.since(id)?;
-        if since > 0 && now < since.saturating_add(due) {
+        let version = version.clone();
+        if !self.is_due(now, id) {
             return None;
         }
         // A wave stops where those before it turned it down or do worse; the first has none before it.
--- a/crates/coralstep-fleet/tests/virtual_time.rs
+++ b/crates/coralstep-fleet/tests/virtual_time.rs
@@ -508,3 +508,29 @@
         assert!(world.servers.values().all(|server| server.fleet.shut().is_none()), "seed {seed}");
     }
 }
+
+#[test]
+fn who_was_paused_through_a_wave_does_not_begin_to_count_where_all_are_done() {
+    let mut world = World::new(6, CALM, 12);
+    world.pass(4_000);
+    let first = world.publish(0, "{}", false, Vec::new(), 0);
+    world.until_all_on(first, 5_000);
+    // One of the second wave is away meanwhile.
+    let waved = world.publish(0, "{\"two\":1}", false, vec![0.3, 1.0], 5_000);
+    let second = (1..6).find(|at| {
+        let version = world.servers[&0].fleet.versions().held(waved).unwrap();
+        version.wave(&format!("n{at}")) == Some(1)
+    });
+    let second = second.unwrap();
+    world.servers.get_mut(&second).unwrap().paused = true;
+    world.pass(12_000);
+    assert_eq!(world.on(waved), 5);
+    world.servers.get_mut(&second).unwrap().paused = false;
+    // It admits nothing until it has caught up, and does so at once.
+    for _ in 0..40 {
+        world.pass(TICK);
+        let fleet = &world.servers[&second].fleet;
+        assert!(fleet.acts_on() == waved || fleet.shut().is_some(), "let in under {}", fleet.acts_on());
+    }
+    assert_eq!(world.servers[&second].fleet.acts_on(), waved);
+}
