--- /dev/null
+++ b/crates/coralstep-fleet/benches/fleet.rs
@@ -0,0 +1,68 @@
+//! What the fleet's part costs a server by the size of the fleet: the look before each RPC, against the same call on a server that hears
+//! nobody; a datagram heard and answered.
+use std::hint::black_box;
+use std::net::SocketAddr;
+
+use coralstep_fleet::{Fleet, FleetTerms, Member};
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+
+fn at(server: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, (server / 250) as u8, (server % 250) as u8 + 1], 7946))
+}
+
+fn one(server: usize) -> Fleet {
+    let own = Member::new(&format!("n{server}"), at(server), 1);
+    let peers = vec![at(0), at(1)];
+    let terms = FleetTerms {
+        name: "alps".to_owned(),
+        own,
+        peers,
+        behind: 8_000,
+        silent: 8_000,
+        silent_shuts: false,
+        seed: server as u64 + 1,
+    };
+    Fleet::new(terms, 0, 1)
+}
+
+/// One server that knows `count` others, and the last datagram that it heard of one of them.
+fn known(count: usize) -> (Fleet, Vec<u8>, u64) {
+    let mut hub = one(0);
+    let mut now = 0;
+    let mut last = Vec::new();
+    for other in 1..=count {
+        let mut other = one(other);
+        now += 1;
+        other.tick(now, now, (0, 0));
+        for (_, bytes) in other.send() {
+            let _ = hub.heard(now, now, &bytes);
+            last = bytes;
+        }
+        hub.send();
+    }
+    hub.tick(now, now, (0, 0));
+    hub.send();
+    (hub, last, now)
+}
+
+fn bench(criterion: &mut Criterion) {
+    for count in [0, 30, 300, 3_000] {
+        let (mut hub, last, start) = known(count);
+        let mut group = criterion.benchmark_group(format!("{count} others"));
+        group.bench_function("look before an RPC", |bencher| bencher.iter(|| black_box(hub.back(start))));
+        if count > 0 {
+            group.bench_function("a datagram", |bencher| {
+                bencher.iter_batched(
+                    || last.clone(),
+                    |bytes| hub.heard(start, start, &bytes),
+                    BatchSize::SmallInput,
+                );
+                hub.send();
+            });
+        }
+        group.finish();
+    }
+}
+
+criterion_group!(benches, bench);
+criterion_main!(benches);
--- a/crates/coralstep-fleet/src/versions.rs
+++ b/crates/coralstep-fleet/src/versions.rs
@@ -142,6 +142,7 @@
 }
 
 /// A version on its way.
+#[derive(Debug)]
 struct Fetch {
     id: Id,
     /// Its length, once a piece told it, and the pieces.
@@ -155,13 +156,14 @@
 }
 
 /// A version, its bytes, and when it came here.
+#[derive(Debug)]
 struct Held {
     version: Version,
     blob: Vec<u8>,
     since: Ms,
 }
 
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Versions {
     held: BTreeMap<Id, Held>,
     turned_down: BTreeMap<Id, String>,
--- a/crates/coralstep-lab/src/cli/explore.rs
+++ b/crates/coralstep-lab/src/cli/explore.rs
@@ -1,4 +1,5 @@
 //! `explore`: every small history, and long ones by chance.
+use coralstep_lab::explore::fleet::{Fleet, Scope as FleetScope};
 use coralstep_lab::explore::module::{Cheat, Module, PRELUDES, Prelude, Scope};
 use coralstep_lab::explore::pool::{Pool, Scope as PoolScope};
 use coralstep_lab::explore::{Play, Walked, exhaust, wander};
@@ -42,6 +43,7 @@
     let prompt = Scope { prelude: Prelude::Hung, prompt: true, cheat: Cheat::None };
     walks.push(("module, hung, prompt engine".to_owned(), walk::<Module>(prompt)));
     walks.push(("pool, fresh".to_owned(), walk::<Pool>(PoolScope::Fresh)));
+    walks.push(("fleet's versions".to_owned(), walk::<Fleet>(FleetScope::default())));
     walks.push(("pool, shut".to_owned(), walk::<Pool>(PoolScope::Shut)));
     let results = side_by_side(0..walks.len() as u64, call.threads, |at| walks[at as usize].1(call));
     let mut sound = true;
--- a/crates/coralstep-lab/src/explore/mod.rs
+++ b/crates/coralstep-lab/src/explore/mod.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 
+pub mod fleet;
 pub mod module;
 pub mod pool;
 
--- a/crates/coralstep-lab/src/fleet/processes.rs
+++ b/crates/coralstep-lab/src/fleet/processes.rs
@@ -83,7 +83,7 @@
 }
 
 impl Fleet {
-    /// `more`: further keys of the site file's `fleet`.
+    /// `more`: further keys of the site file's `fleet`; null for processes that have none.
     pub fn start(program: &Path, count: usize, seed: u64, more: Value) -> std::io::Result<Fleet> {
         let links = Links::start(count, seed)?;
         let place = links.addresses.first().map_or(0, SocketAddr::port);
@@ -146,6 +146,11 @@
             "scgi": {"listen": ["127.0.0.1:0"], "routes": [{"verb": "POST", "path": "/save", "method": METHOD}],
                 "headers": {"token": "HTTP_IDEMPOTENCY_KEY"}},
         });
+        if self.more.is_null()
+            && let Some(site) = site.as_object_mut()
+        {
+            site.remove("fleet");
+        }
         if self.keeps {
             site["state"] = json!({"folder": self.folder.join(format!("state-{at}"))});
         }
@@ -191,7 +196,10 @@
             let found = (
                 named(&process, "listens on ", " for SCGI"),
                 named(&process, "operators ask at ", ""),
-                named(&process, "hears its fleet at ", ""),
+                named(&process, "hears its fleet at ", "").or_else(|| {
+                    // Without a fleet nobody is heard, anywhere.
+                    self.more.is_null().then_some(SocketAddr::from(([127, 0, 0, 1], 9)))
+                }),
             );
             if let (Some(scgi), Some(operator), Some(fleet)) = found {
                 (process.scgi, process.operator) = (scgi, operator);
--- a/crates/coralstep-server/tests/fleet.rs
+++ b/crates/coralstep-server/tests/fleet.rs
@@ -321,3 +321,31 @@
         .sum::<usize>();
     println!("taken for gone while they ran: {gone} times");
 }
+
+/// RPC latency and CPU of one process, the fleet's part off, idle, and during roll-outs one after another; in one run, twice each.
+#[test]
+#[ignore = "a minute; figures for docs/fleet.md"]
+fn by_hand_what_the_fleet_costs_an_rpc() {
+    for round in 0..2 {
+        for (name, more) in [("off", Value::Null), ("idle", json!({})), ("roll-outs", json!({}))] {
+            let mut fleet = Fleet::start(program(), 7, 12 + round, more).unwrap();
+            std::thread::sleep(Duration::from_secs(4));
+            let (cpu, start, mut times) = (fleet.cpu(3), Instant::now(), Vec::new());
+            for number in 0..900 {
+                if name == "roll-outs" && number % 90 == 0 {
+                    fleet.publish(0, &levels(f64::from(number + 1)), false, &[], 0).unwrap();
+                }
+                let began = Instant::now();
+                assert_eq!(fleet.rpc(3), Told::Ok);
+                times.push(began.elapsed().as_secs_f64() * 1000.0);
+            }
+            times.sort_by(f64::total_cmp);
+            let (middle, high) = (times[450], times[891]);
+            let cpu = (fleet.cpu(3) - cpu) / start.elapsed().as_secs_f64() * 100.0;
+            println!(
+                "{name}: p50 {middle:.2} ms, p99 {high:.2} ms, {cpu:.1}% of a core at {:.0} a second",
+                900.0 / start.elapsed().as_secs_f64()
+            );
+        }
+    }
+}
