--- a/crates/coralstep-fleet/src/members.rs
+++ b/crates/coralstep-fleet/src/members.rs
@@ -26,6 +26,8 @@
 const SEEDS: Ms = 10_000;
 /// Looks at first: those who start together meet in pairs, and the pairs have to meet, too.
 const FIRST: usize = 15;
+/// Members that are known, gone ones among them; beyond that nobody is heard. Guards against a peer that invents them without end.
+pub const MEMBERS_MOST: usize = 8_192;
 /// Letters of a name.
 pub const NAME_MOST: usize = 64;
 /// Timers that may wait; foca has a few for itself and two for each suspect.
@@ -201,6 +203,9 @@
     /// A message of foca's came.
     pub fn heard(&mut self, now: Ms, bytes: &[u8]) {
         self.outside.now = now;
+        if self.foca.iter_membership_state().len() >= MEMBERS_MOST {
+            return;
+        }
         // What foca can't make sense of says nothing about the members.
         let _ = self.foca.handle_data(bytes, &mut self.outside);
     }
--- a/crates/coralstep-server/src/fleet/carrier.rs
+++ b/crates/coralstep-server/src/fleet/carrier.rs
@@ -19,6 +19,7 @@
 use ipnet::IpNet;
 use serde_json::{Value, json};
 
+use crate::base::log;
 use crate::decisions::facade::Facade;
 use crate::fleet::record::Recorder;
 use crate::note;
@@ -80,6 +81,12 @@
         Event::ClockOff(name) => format!("the clock of {name} is too far ahead to be believed"),
         Event::Paused(ms) => format!("this process was paused for {ms} ms"),
     };
+    // Guards against members that come and go without end, and talk all other lines away: their lines are a peer's.
+    if matches!(event, Event::Member(..) | Event::NameHeld(..) | Event::ClockOff(_))
+        && log::admitted(Instant::now(), true).is_none()
+    {
+        return;
+    }
     tracing::info!(target: "fleet", "fleet: {said}");
 }
 
--- a/crates/coralstep/src/lost.rs
+++ b/crates/coralstep/src/lost.rs
@@ -1,7 +1,7 @@
 //! Calls and runs that have no end, or whose end is never told. Guards against places that are taken for good.
-//! What can't be proven ended is asked after, then counted as lost, under a bound: it keeps its memory, its token
-//! and its part of the crowd, and its late end only takes it off the books. One that stands at a call which is
-//! over is stranded: nobody feeds it any more, so it can't come back to the cores and has no part of the crowd.
+//! What can't be proven ended is asked after, then counted as lost, under a bound: it keeps its memory, its
+//! token and its part of the crowd, and its late end only takes it off the books. One that stands at a call
+//! which is over is stranded: nobody feeds it any more, so it can't come back to the cores and has no part.
 use crate::constants::*;
 use crate::door::*;
 use crate::site::{Place, Site};
@@ -32,9 +32,9 @@
     let most = most(ceiling);
     if place == Place::Waiting && late >= STRANDED_AFTER {
         site.put(id, Place::Stranded);
-        let stranded = site.count(Place::Stranded);
+        let count = site.count(Place::Stranded);
         out.log(format_args!(
-            "a run is stranded: no end {} ms after its answer, {stranded} of {most}",
+            "a run is stranded: no end {} ms after its answer, {count} of {most}",
             late.0 / 10
         ));
     } else if place == Place::Running && late >= LOST_AFTER && lost < most {
