--- a/crates/coralstep/src/lost.rs
+++ b/crates/coralstep/src/lost.rs
@@ -1,4 +1,4 @@
-//! Calls and runs that have no end, or whose end is never told. Guards against places that are taken for good.
+//! Calls and runs that have no end, or whose end is never told. Guards against places taken for good.
 //! What can't be proven ended is asked after, then counted as lost, under a bound: it keeps its memory, its
 //! token and its part of the crowd, and its late end only takes it off the books. One that stands at a call
 //! which is over is stranded: nobody feeds it any more, so it can't come back to the cores and has no part.
