--- a/crates/coralstep-lab/src/fleet/processes.rs
+++ b/crates/coralstep-lab/src/fleet/processes.rs
@@ -240,6 +240,11 @@
         signal(&process.child, if stopped { "STOP" } else { "CONT" })
     }
 
+    /// SIGHUP.
+    pub fn reload(&self, at: usize) -> std::io::Result<()> {
+        self.processes[at].as_ref().map_or(Ok(()), |process| signal(&process.child, "HUP"))
+    }
+
     /// SIGTERM.
     pub fn leave(&self, at: usize) -> std::io::Result<()> {
         self.processes[at].as_ref().map_or(Ok(()), |process| signal(&process.child, "TERM"))
--- a/crates/coralstep-server/src/decisions/facade.rs
+++ b/crates/coralstep-server/src/decisions/facade.rs
@@ -607,7 +607,9 @@
             return;
         }
         self.shut.set(back.is_some());
-        let level = back.map_or_else(Level::default, |back| Level { closed: true, back, ..Level::default() });
+        // Let in, it goes back to the level that holds: guards against a moment of full service in between.
+        let open = || self.levels.as_ref().map_or_else(Level::default, |levels| levels.effect());
+        let level = back.map_or_else(open, |back| Level { closed: true, back, ..Level::default() });
         self.happen(|server, now, desk| server.level(now, level, desk));
     }
 
--- a/crates/coralstep-server/src/decisions/levels.rs
+++ b/crates/coralstep-server/src/decisions/levels.rs
@@ -83,6 +83,11 @@
         history.push_back(Recorded { unix_ms: unix.as_millis() as u64, change });
     }
 
+    /// What the level that holds asks of the decisions.
+    pub fn effect(&self) -> Level {
+        self.levels.borrow().effect()
+    }
+
     pub fn name(&self) -> String {
         self.levels.borrow().name().to_owned()
     }
--- a/crates/coralstep-server/src/fleet/carrier.rs
+++ b/crates/coralstep-server/src/fleet/carrier.rs
@@ -188,7 +188,9 @@
 
     fn heard(&self, bytes: &[u8], from: SocketAddr) {
         let listed = self.networks.iter().any(|network| network.contains(&from.ip()));
-        let heard = listed && self.fleet.borrow_mut().heard(self.now(), wall_ms(), bytes).is_ok();
+        // Guards against a peer's bytes that end the process by a fault in what reads them.
+        let read = || self.fleet.borrow_mut().heard(self.now(), wall_ms(), bytes).is_ok();
+        let heard = listed && catch_unwind(AssertUnwindSafe(read)).unwrap_or(false);
         self.faults.set(self.faults.get() + u64::from(!heard));
     }
 
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -112,7 +112,12 @@
     }
     // Nothing is decided before the executor runs: what was learned comes in time.
     let keeper = site.state.as_ref().and_then(|terms| Keeper::start(terms, &config, &facade));
-    let movable = Rc::new(Movable { scgi, applications, levels: facade.levels().cloned() });
+    let movable = Rc::new(Movable {
+        scgi,
+        applications,
+        levels: facade.levels().cloned(),
+        versioned: Cell::new(false),
+    });
     let take: Take = {
         let (movable, site, names) = (movable.clone(), site.clone(), config.names.clone());
         Box::new(move |content| reload::take_version(content, &site, &names, &movable))
--- a/crates/coralstep-server/src/life/reload.rs
+++ b/crates/coralstep-server/src/life/reload.rs
@@ -1,4 +1,5 @@
 //! SIGHUP: the configuration is read again, and the links move to the addresses that it now states.
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,6 +27,8 @@
     pub scgi: Option<Rc<Scgi>>,
     pub applications: Option<Rc<Applications>>,
     pub levels: Option<Rc<Kept>>,
+    /// These sections are those of a version of the fleet's; the site file's stay behind them.
+    pub versioned: Cell<bool>,
 }
 
 /// Takes up each new configuration; one that is at fault changes nothing.
@@ -66,6 +69,7 @@
     if let (Some(applications), Some(terms)) = (&movable.applications, &new.applications) {
         applications.reload(terms);
     }
+    movable.versioned.set(true);
     Ok(())
 }
 
@@ -83,6 +87,12 @@
     for (key, _) in sections.iter().filter(|(_, differs)| *differs) {
         note!("reload: {key}: changes only with a restart");
     }
+    if movable.versioned.get() {
+        // Guards against a server that says it acts on a version and has the file's settings.
+        return note!(
+            "reload: levels, scgi and applications are those of the fleet's version; the file's are not taken"
+        );
+    }
     if let (Some(front), Some(terms)) = (&movable.scgi, &new.scgi) {
         // It was checked when it was read.
         if let Err(why) = front.reload(terms, &config.names) {
--- a/crates/coralstep-server/tests/fleet.rs
+++ b/crates/coralstep-server/tests/fleet.rs
@@ -56,6 +56,10 @@
     let version = published["published"].as_str().unwrap().to_owned();
     all_on(&fleet, &version);
     assert_eq!(fleet.rpc(5), Told::Ok);
+    // A reload of the site file doesn't take back what the version set.
+    fleet.reload(5).unwrap();
+    let kept = |fleet: &Fleet| fleet.logged(5, "are those of the fleet's version");
+    assert!(fleet.until(LIMIT, kept).is_some(), "{:?}", fleet.log(5));
     let known = |fleet: &Fleet| {
         (0..7).all(|at| {
             let rows = audit(fleet, at);
