--- /dev/null
+++ b/crates/coralstep-server/tests/landing.rs
@@ -0,0 +1,99 @@
+//! The scripts that stand before a landing: deploy/standing.sh with a bench that only prints, and the hook for messages.
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// A folder of its own for a test, gone with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let folder = std::env::temp_dir().join(format!("coralstep-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Folder(folder)
+    }
+
+    fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::create_dir_all(path.parent().unwrap()).unwrap();
+        std::fs::write(&path, text).unwrap();
+        std::fs::set_permissions(&path, PermissionsExt::from_mode(0o755)).unwrap();
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+const TABLE: &str = "\
+| landing | what | standing | lbreal |
+| --- | --- | --- | --- |
+| 1 | first | quick 0.500 | quick 0.600 |
+| 2 | second | quick 0.990, full 0.980 | quick 0.995 |
+";
+
+/// What the script says, and whether it ended well, for a bench whose two programs print this.
+fn standing(name: &str, mass: &str, real: &str) -> (String, bool) {
+    let folder = Folder::new(name);
+    for (program, says) in [("more/mass/bin/lbreal", mass), ("real/bin/lbreal", real)] {
+        // Whether it was told to be quick goes into what it says.
+        folder
+            .file(program, &format!("#!/bin/sh\nprintf '%s\\n' \"args $1 $3\"\ncat <<'END'\n{says}\nEND\n"));
+    }
+    let roadmap = folder.file("ROADMAP.md", TABLE);
+    let script = Command::new("bash")
+        .arg(root().join("deploy/standing.sh"))
+        .arg(&folder.0)
+        .env("ROADMAP", roadmap)
+        .output();
+    let Output { status, stdout, .. } = script.unwrap();
+    (String::from_utf8(stdout).unwrap(), status.success())
+}
+
+const GOOD: &str = "calm+mass  G 0.8  score 1.00\nscore of the real nodes 1.000 (the mean)\nGATE passed";
+
+#[test]
+fn a_standing_test_that_passes_lets_the_landing_go_on() {
+    let (says, good) = standing("good", GOOD, "score of the real nodes 0.970 (the mean)");
+    assert!(good, "{says}");
+    assert!(says.contains("standing: GATE passed") && says.contains("standing: calm+mass"), "{says}");
+    assert!(says.contains("standing: quick 1.000, +0.010 since the last landing (0.990)"), "{says}");
+    assert!(says.contains("lbreal: quick 0.970, -0.025 since the last landing (0.995)"), "{says}");
+}
+
+#[test]
+fn a_failed_gate_a_fall_and_no_score_stop_it() {
+    let fails = GOOD.replace("GATE passed", "GATE failed: calm+mass, lost");
+    let regression = "score of the real nodes 0.995 (the mean)";
+    let (says, good) = standing("gate", &fails, regression);
+    assert!(!good && says.contains("standing: GATE failed: calm+mass, lost"), "{says}");
+    let (says, good) = standing("fell", GOOD, "score of the real nodes 0.960 (the mean)");
+    assert!(!good && says.contains("lbreal: fell by more than 0.03"), "{says}");
+    let (says, good) = standing("none", GOOD, "no server started");
+    assert!(!good && says.contains("lbreal: no score"), "{says}");
+}
+
+/// Whether the hook takes a message.
+fn takes(message: &str) -> bool {
+    let folder = Folder::new("hook");
+    let file = folder.file("message", message);
+    Command::new("bash").arg(root().join(".githooks/commit-msg")).arg(file).output().unwrap().status.success()
+}
+
+#[test]
+fn the_hook_refuses_long_titles_and_messages_without_a_body() {
+    let title = "t".repeat(89);
+    assert!(takes(&format!("{title}\n\nWhy, what, how much.\n")));
+    assert!(!takes(&format!("{title}t\n\nWhy, what, how much.\n")));
+    assert!(!takes("A title\n\n# only a comment\n"));
+    assert!(!takes("A title\n"));
+    // Characters count, not bytes.
+    assert!(takes(&format!("{}\n\nWhy.\n", "ü".repeat(89))));
+}
