An RPC keeps its version; orders reach any server; what starves a method is turned down

Need: left open of the fleet's part: an RPC held while a version changed its level was answered under the new one, an operator could shut out only the server asked, a version that parses could starve a method, one whose last section failed left the first behind, and real processes had no clock steps. Change: an RPC carries the version it was read under and is decided under that version's level (a server that is shut out holds for all); orders ride on words, numbered, so the newest holds without a clock; starves.rs looks at the first level and at routes that went; sections are put back where one fails; fleet.clock_steps lets tests step the wall clock. Shutting out is a module of its own (straggler.rs), spreading too (spread.rs: what is said next is found without sorting all).

--- a/crates/coralstep-fleet/src/audit.rs
+++ b/crates/coralstep-fleet/src/audit.rs
@@ -7,7 +7,7 @@
 
 use crate::Ms;
 use crate::versions::{Id, hash};
-use crate::words::{Heard, Past, Word};
+use crate::words::{Past, Word};
 
 /// Entries that are kept: the last of this server's, and of each other one.
 pub const OWN_KEPT: usize = 256;
@@ -232,7 +232,7 @@
 }
 
 /// The latest of what is known of a server that was heard of.
-pub fn is_known(now: Ms, heard: &Heard) -> bool {
+pub fn is_known(now: Ms, heard: &crate::spread::Heard<Word>) -> bool {
     now.saturating_sub(heard.at) <= KNOWN
 }
 
--- a/crates/coralstep-fleet/src/envelope.rs
+++ b/crates/coralstep-fleet/src/envelope.rs
@@ -4,7 +4,7 @@
 use crate::members::Member;
 
 /// The format of what follows; another one is not read.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 /// The longest datagram that is sent: fits the usual Ethernet frame.
 pub const SENT_MOST: usize = 1_400;
 /// The longest that is read.
@@ -100,7 +100,7 @@
             assert_eq!(Datagram::read(&bytes[..at], fleet("alps")), Err(Fault::Garbled), "cut at {at}");
         }
         let mut later = Datagram::new(fleet("alps"), Member::new("n1", "127.0.0.1:1".parse().unwrap(), 5), 9);
-        later.format = 2;
+        later.format = FORMAT + 1;
         assert_eq!(Datagram::read(&later.bytes(), fleet("alps")), Err(Fault::OtherFormat));
     }
 }
--- a/crates/coralstep-fleet/src/fleet.rs
+++ b/crates/coralstep-fleet/src/fleet.rs
@@ -1,30 +1,21 @@
 //! One server's part in its fleet: members, riders, the version it acts on, and whether it is shut out. What it leads to (datagrams,
 //! events) is kept until it is fetched.
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use serde::Serialize;
 
 use crate::Ms;
 use crate::audit::{Chain, Entry, Filter, Others, Row};
 use crate::clock::Clock;
 use crate::envelope::{self, Datagram, Fault, Rider, SENT_MOST};
 use crate::members::{Change, Member, Members, State};
+use crate::spread::SOURCES_MOST;
+use crate::straggler::{Bounds, Facts, Shut, Straggler};
 use crate::versions::{Id, Letter, Version, Versions, worse};
-use crate::words::{OWN, SOURCES_MOST, Word, Words};
-
-/// Part of the fleet that may be shut out at once for being behind; beyond it the version or the network is at fault.
-pub const SHUT_MOST: f64 = 0.3;
-/// A gap of so long between two ticks is a pause of this process: what it knew before may be long over.
-pub const PAUSE: Ms = 2_000;
-/// After a pause it admits nothing until a member that holds what it acts on was heard, or for so long at the most.
-pub const RESUME: Ms = 3_000;
-/// Who would shut itself out says so first, and waits so long to hear who else would: then the same few go, whoever reckons.
-const SAID: Ms = 2_000;
-/// Advice of a server that is shut out and can't tell for how long.
-const AWAY: Ms = 5_000;
+use crate::words::{ORDERS_MOST, OWN, Order, Word, Words};
+
 /// Letters that wait to be sent, and events to be fetched.
 const QUEUE_MOST: usize = 1_024;
 /// Bytes of a datagram that are not parts.
@@ -45,21 +36,6 @@
     pub seed: u64,
 }
 
-/// Why a server admits nothing.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Shut {
-    /// An operator said so.
-    ByHand,
-    /// It turned down a version that must be acted on.
-    TurnedDown(Id),
-    Behind(Id),
-    /// It hears nobody.
-    Silent,
-    /// It was paused, and has not heard from the others since.
-    Paused,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     Member(Member, State),
@@ -114,25 +90,16 @@
     acting: Acting,
     number: u64,
     leaving: bool,
-    by_hand: bool,
-    shut: Option<Shut>,
-    /// What it is behind, and when that is too long.
-    behind: Option<(Id, Ms)>,
-    /// Since when it would shut itself out for a version.
-    wants_out: Option<Ms>,
-    /// When it last heard anybody.
-    alone: Ms,
-    /// Since when it goes on after a pause, and its first datagram from then on: what doesn't echo that may have been said before.
-    resumed: Option<(Ms, u64)>,
-    /// Since when it has heard again: what it hears of then is fetched before anything is admitted, if that comes soon.
-    caught_up: Option<Ms>,
+    straggler: Straggler,
+    /// What operators want of servers, the newest for each; and those given here.
+    ordered: BTreeMap<String, Order>,
+    orders: Vec<Order>,
     /// Datagrams sent, and the last of each sender's that was heard.
     spoken: u64,
     echoes: HashMap<SocketAddr, u64>,
     ticked: Option<Ms>,
     own_due: Ms,
     stopped: Option<Id>,
-    told_too_many: Option<Id>,
     clock_off: Vec<String>,
     send: Vec<(SocketAddr, Vec<u8>)>,
     events: Vec<Event>,
@@ -143,6 +110,9 @@
     pub fn new(terms: FleetTerms, now: Ms, wall_ms: u64) -> Fleet {
         let clock = Clock::new(terms.seed ^ terms.own.started);
         let acting = Acting { since_ms: clock.stamp(wall_ms), ..Acting::default() };
+        // Who has nobody to hear is not cut off.
+        let silent_shuts = terms.silent_shuts && !terms.peers.is_empty();
+        let bounds = Bounds { behind: terms.behind, silent: terms.silent, silent_shuts };
         Fleet {
             fleet: envelope::fleet(&terms.name),
             members: Members::new(terms.own.clone(), &terms.peers, terms.seed),
@@ -153,19 +123,14 @@
             others: Others::default(),
             number: 0,
             leaving: false,
-            by_hand: false,
-            shut: None,
-            behind: None,
-            wants_out: None,
-            alone: now,
-            resumed: None,
-            caught_up: None,
+            straggler: Straggler::new(bounds, now),
+            ordered: BTreeMap::new(),
+            orders: Vec::new(),
             spoken: 0,
             echoes: HashMap::new(),
             ticked: None,
             own_due: now,
             stopped: None,
-            told_too_many: None,
             clock_off: Vec::new(),
             send: Vec::new(),
             events: Vec::new(),
@@ -196,8 +161,7 @@
             self.echoes.clear();
         }
         self.echoes.insert(datagram.from.at, datagram.number);
-        // Not by the members: a large fleet is taken for gone one by one, which takes minutes.
-        self.alone = now;
+        self.straggler.heard(now);
         for (rider, bytes) in &datagram.parts {
             match rider {
                 Rider::Members => self.members.heard(now, bytes),
@@ -225,12 +189,10 @@
     fn words_heard(&mut self, now: Ms, datagram: &Datagram, bytes: &[u8]) {
         let own = self.members.own().clone();
         for word in self.words.heard(now, &own, bytes) {
-            // Guards against words from before a pause, which lay in the socket meanwhile: the sender's own word counts, and only in answer
-            // to what was said since.
-            if self.resumed.is_some_and(|(_, first)| datagram.echo >= first) && word.of == datagram.from {
-                self.resumed = None;
-                self.caught_up = Some(now);
+            if word.of == datagram.from {
+                self.straggler.answered(now, datagram.echo);
             }
+            word.orders.iter().for_each(|order| self.order(order));
             let at = self.words.of(&word.of).map_or(now, |heard| heard.at);
             if !self.others.heard(at, &word) {
                 self.event(Event::RecordChanged(word.of.name.clone()));
@@ -289,16 +251,24 @@
         }
     }
 
-    /// Guards against a process that was stopped and goes on as if no time had passed.
     fn paused(&mut self, now: Ms) {
         let gap = self.ticked.map_or(0, |ticked| now.saturating_sub(ticked));
-        if gap > PAUSE && self.resumed.is_none() {
+        if self.straggler.paused(now, gap, self.spoken + 1, self.members.count()) {
             self.ticked = Some(now);
             self.event(Event::Paused(gap));
-            if self.members.count() > 0 {
-                self.resumed = Some((now, self.spoken + 1));
-                self.judge(now);
-            }
+            self.judge(now);
+        }
+    }
+
+    /// An operator's order came, from here or by way of another server.
+    fn order(&mut self, order: &Order) {
+        let known = self.ordered.get(&order.server).map_or(0, |known| known.number);
+        if order.number <= known || (known == 0 && self.ordered.len() >= SOURCES_MOST) {
+            return;
+        }
+        self.ordered.insert(order.server.clone(), order.clone());
+        if order.server == self.terms.own.name {
+            self.straggler.by_hand(order.shut);
         }
     }
 
@@ -308,19 +278,18 @@
         self.ticked = Some(now);
         self.acting.now = counts;
         self.members.tick(now);
-        self.words.forget(now);
         if now >= self.own_due {
             self.own_due = now + OWN;
+            self.words.forget(now);
             self.say();
         }
         let chance = self.chance.random_range(0.0..1.0);
-        let words = &self.words;
-        let present: Vec<&Member> = self.members.present().collect();
+        let (words, members) = (&self.words, &self.members);
         let holders = |id: Id| {
-            let holds = |member: &&&Member| {
+            let holds = |member: &&Member| {
                 words.of(member).is_some_and(|heard| heard.word.knows == id || heard.word.acts_on == id)
             };
-            present.iter().filter(holds).map(|member| (**member).clone()).collect()
+            members.present().filter(holds).cloned().collect()
         };
         let asks = self.versions.ask(now, holders, chance);
         asks.into_iter().for_each(|(of, letter)| self.letter(wall_ms, of.at, &letter));
@@ -339,8 +308,8 @@
             of: self.members.own().clone(),
             number: self.number,
             leaving: self.leaving,
-            shut: self.shut.is_some(),
-            wants_out: self.wants_out.is_some(),
+            shut: self.straggler.shut().is_some(),
+            wants_out: self.straggler.wants_out(),
             acts_on: self.acting.id,
             since_ms: self.acting.since_ms,
             rpcs,
@@ -350,77 +319,44 @@
             turned_down,
             chain,
             entries,
+            orders: self.orders.clone(),
         });
     }
 
-    /// Whether this server is to be shut out, or let in again.
     fn judge(&mut self, now: Ms) {
-        let wanted = self.versions.wanted().map(|(id, _)| id).unwrap_or_default();
         let newest = self.versions.newest();
-        let must = self.versions.held(newest).is_some_and(|version| version.must);
-        let turned_down = self.versions.why_not(newest).is_some();
-        // What it should act on by now: its wave may be still to come, or be stopped.
-        let target = if turned_down { wanted } else { newest };
-        if target == self.acting.id || self.stopped == Some(target) || target < self.acting.id {
-            self.behind = None;
-        } else if self.behind.is_none_or(|(id, _)| id != target) {
-            let due = self
-                .versions
-                .held(target)
-                .and_then(|version| version.due_ms(&self.terms.own.name))
-                .unwrap_or(0);
-            self.behind = Some((target, now + due + self.terms.behind));
+        let mut facts = Facts {
+            acts_on: self.acting.id,
+            newest,
+            wanted: self.versions.wanted().map(|(id, _)| id).unwrap_or_default(),
+            must: self.versions.held(newest).is_some_and(|version| version.must),
+            turned_down: self.versions.why_not(newest).is_some(),
+            ..Facts::default()
+        };
+        let target = facts.target();
+        let held = self.versions.held(target);
+        facts.held = held.is_some();
+        facts.due = held.and_then(|version| version.due_ms(&self.terms.own.name)).unwrap_or(0);
+        facts.stopped = self.stopped == Some(target);
+        facts.others = self.members.count();
+        if target > self.acting.id {
+            facts.is_due = self.is_due(now, target);
         }
-        // What it hears of after a pause comes first; a wave that is still to come is nothing to wait for.
-        let fetches = self.caught_up.is_some_and(|since| now < since + RESUME) && target > self.acting.id;
-        let waits = self.versions.held(target).is_some()
-            && (self.stopped == Some(target) || !self.is_due(now, target));
-        let behind = self.behind.filter(|(_, until)| now >= *until).map(|(id, _)| Shut::Behind(id));
-        let out = (must && turned_down).then_some(Shut::TurnedDown(newest)).or(behind);
-        if out.is_some() != self.wants_out.is_some() {
-            self.wants_out = out.as_ref().map(|_| now);
-            self.say();
+        if self.straggler.wants_out() {
+            let own = (self.straggler.shut().is_none(), self.terms.own.name.as_str());
+            let words =
+                self.members.present().filter_map(|member| self.words.of(member)).map(|heard| &heard.word);
+            let goes = |word: &&Word| word.wants_out && (!word.shut, word.of.name.as_str()) < own;
+            facts.before = words.filter(goes).count();
         }
-        let out = out.filter(|_| self.may_shut(now, newest));
-        let cause = match () {
-            () if self.by_hand => Some(Shut::ByHand),
-            () if self.resumed.is_some_and(|(resumed, _)| now < resumed + RESUME) => Some(Shut::Paused),
-            () if fetches && !waits => Some(Shut::Paused),
-            () if out.is_some() => out,
-            // Who has nobody to hear is not cut off.
-            () if self.terms.silent_shuts
-                && !self.terms.peers.is_empty()
-                && now.saturating_sub(self.alone) > self.terms.silent =>
-            {
-                Some(Shut::Silent)
-            }
-            () => None,
-        };
-        if cause != self.shut {
-            self.shut = cause.clone();
+        let judged = self.straggler.judge(now, &facts);
+        judged.too_many.into_iter().for_each(|id| self.event(Event::TooMany(id)));
+        if let Some(cause) = judged.changed {
             self.event(cause.map_or(Event::LetIn, Event::Shut));
-            self.say();
-        }
-    }
-
-    /// Guards against a version or a network at fault that takes the whole fleet away: of those who would go only so many do, first
-    /// those who have gone, then by name, which all reckon alike.
-    fn may_shut(&mut self, now: Ms, id: Id) -> bool {
-        if self.wants_out.is_none_or(|since| now < since + SAID) {
-            return false;
         }
-        let own = (self.shut.is_none(), self.terms.own.name.as_str());
-        let words =
-            self.members.present().filter_map(|member| self.words.of(member)).map(|heard| &heard.word);
-        let before = words.filter(|word| word.wants_out && (!word.shut, word.of.name.as_str()) < own).count();
-        let all = self.members.count() + 1;
-        let most = (all as f64 * SHUT_MOST) as usize;
-        let may = before < if all >= 3 { most.max(1) } else { most };
-        if !may && self.told_too_many != Some(id) {
-            self.told_too_many = Some(id);
-            self.event(Event::TooMany(id));
+        if judged.says {
+            self.say();
         }
-        may
     }
 
     /// Whether this server's wave of a version that it holds has come: by its own clock since the version came here (wall clocks may be an hour
@@ -538,9 +474,24 @@
         Ok(id)
     }
 
-    pub fn by_hand(&mut self, now: Ms, shut: bool) {
-        self.by_hand = shut;
+    /// An operator shuts `server` out, or lets it in: itself, or by way of the words that all hear. It holds until the next order for it; an
+    /// order for another server is handed on for as long as this process runs, the last [`ORDERS_MOST`] of them.
+    pub fn by_hand(&mut self, now: Ms, server: &str, shut: bool) -> Result<(), String> {
+        let known = |member: &Member| member.name == server;
+        if server != self.terms.own.name && !self.members.all().any(|(member, _)| known(member)) {
+            return Err(format!("{server:?} is not known here"));
+        }
+        let number = self.ordered.get(server).map_or(0, |known| known.number) + 1;
+        let order = Order { server: server.to_owned(), number, shut };
+        self.orders.retain(|old| old.server != server);
+        if self.orders.len() >= ORDERS_MOST {
+            self.orders.remove(0);
+        }
+        self.orders.push(order.clone());
+        self.order(&order);
         self.judge(now);
+        self.say();
+        Ok(())
     }
 
     /// The notice to leave: told before the drain.
@@ -555,12 +506,7 @@
     /// process is seen here first.
     pub fn back(&mut self, now: Ms) -> Option<Ms> {
         self.paused(now);
-        let left = self.resumed.map_or(0, |(resumed, _)| (resumed + RESUME).saturating_sub(now));
-        match self.shut.as_ref()? {
-            Shut::Paused => Some(left.max(1)),
-            // Nobody knows when: another look is worth while after a few rounds of words.
-            _ => Some(AWAY),
-        }
+        self.straggler.back(now)
     }
 
     pub fn send(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
@@ -572,7 +518,7 @@
     }
 
     pub fn shut(&self) -> Option<&Shut> {
-        self.shut.as_ref()
+        self.straggler.shut()
     }
 
     pub fn acts_on(&self) -> Id {
@@ -595,7 +541,11 @@
             () => State::Alive,
         };
         let mut all = vec![(self.members.own().clone(), own_state, Some(self.acting.id), 0)];
-        for (member, state) in self.members.all() {
+        let own = self.members.own();
+        // Guards against the process that was here before a restart, of which others still speak: it stood beside this one.
+        let others =
+            self.members.all().filter(|(member, _)| (&member.name, member.at) != (&own.name, own.at));
+        for (member, state) in others {
             let heard = self.words.of(member).filter(|heard| heard.word.of == *member);
             let state = if heard.is_some_and(|heard| heard.word.leaving) { State::Leaving } else { state };
             let age = heard.map_or(u64::MAX, |heard| now.saturating_sub(heard.at));
@@ -611,7 +561,8 @@
         self.members.present().filter(move |member| {
             let heard = self.words.of(member).map(|heard| &heard.word);
             heard.is_some_and(|word| {
-                !word.shut && !word.leaving && (word.acts_on == newest || word.knows == newest)
+                let out = self.ordered.get(&member.name).is_some_and(|order| order.shut);
+                !out && !word.shut && !word.leaving && (word.acts_on == newest || word.knows == newest)
             })
         })
     }
--- a/crates/coralstep-fleet/src/lib.rs
+++ b/crates/coralstep-fleet/src/lib.rs
@@ -9,11 +9,14 @@
 pub mod envelope;
 pub mod fleet;
 pub mod members;
+pub mod spread;
+pub mod straggler;
 pub mod versions;
 pub mod words;
 
-pub use fleet::{Event, Fleet, FleetTerms, Shut};
+pub use fleet::{Event, Fleet, FleetTerms};
 pub use members::{Member, State};
+pub use straggler::Shut;
 pub use versions::Id;
 
 /// Milliseconds of a monotonic clock.
--- a/crates/coralstep-fleet/src/words.rs
+++ b/crates/coralstep-fleet/src/words.rs
@@ -1,24 +1,35 @@
-//! What each server says of itself, spread to all: newest per source wins, its age is known, past its age it is worth nothing. A rider of
-//! the channel: it fills what room a datagram has, with what was told least.
-use std::collections::HashMap;
-use std::net::SocketAddr;
-
+//! What each server says of itself: what it acts on, what it holds, whether it is shut out. A rider of the channel, spread by [`Spread`].
 use serde::{Deserialize, Serialize};
 
 use crate::Ms;
-use crate::members::Member;
+use crate::members::{Member, NAME_MOST};
+use crate::spread::{Saying, Spread};
 use crate::versions::Id;
 
-/// Sources that are kept; more are not listened to.
-pub const SOURCES_MOST: usize = 8_192;
 /// Letters of a reason.
 pub const REASON_MOST: usize = 96;
 /// A server's own word is made anew this often, so that its silence shows.
 pub const OWN: Ms = 1_000;
 /// Who has not been heard of for so long is forgotten here; the audit still has its rows.
 pub const FORGET: Ms = 120_000;
-/// A word that is said to be older than that tells nothing new.
-const AGE_MOST: u32 = FORGET as u32;
+/// Orders of operators that a server hands on for others: its last ones.
+pub const ORDERS_MOST: usize = 4;
+
+/// An operator shuts a server out, or lets it in, by way of another one. Of two for one server the greater number holds; it rises with each
+/// that is known, so no clock decides.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    pub server: String,
+    pub number: u64,
+    pub shut: bool,
+}
+
+impl Order {
+    fn is_sound(&self) -> bool {
+        // The bound leaves room: guards against one forged order that no later one could exceed.
+        !self.server.is_empty() && self.server.len() <= NAME_MOST && self.number < u64::MAX / 2
+    }
+}
 
 /// A version that a server acted on, from when to when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,98 +65,31 @@
     /// The end of its record, and how many entries that has.
     pub chain: [u8; 8],
     pub entries: u32,
+    /// What its operators want of other servers.
+    pub orders: Vec<Order>,
 }
 
-impl Word {
-    fn is_sound(&self) -> bool {
-        let reason = self.turned_down.as_ref().is_none_or(|(_, why)| why.len() <= REASON_MOST);
-        self.of.is_sound() && reason && self.ok <= self.rpcs
-    }
-}
-
-#[derive(Clone, Debug)]
-pub struct Heard {
-    pub word: Word,
-    /// When it was said, on this server's clock.
-    pub at: Ms,
-    told: u32,
-}
-
-#[derive(Default)]
-pub struct Words {
-    heard: HashMap<(String, SocketAddr), Heard>,
-    own: Option<Word>,
-}
-
-/// A word and its age.
-type Passed = (Word, u32);
-
-impl Words {
-    pub fn own(&mut self, word: Word) {
-        self.own = Some(word);
-    }
-
-    /// What goes into `room` bytes.
-    pub fn said(&mut self, now: Ms, room: usize) -> Option<Vec<u8>> {
-        let mut out: Vec<Passed> = self.own.iter().map(|own| (own.clone(), 0)).collect();
-        let mut order: Vec<(&(String, SocketAddr), u32)> =
-            self.heard.iter().map(|(of, heard)| (of, heard.told)).collect();
-        // Of two told as often, the one heard of later: its news is newer. Names keep the order the same everywhere.
-        order.sort_by(|a, b| (a.1, a.0).cmp(&(b.1, b.0)));
-        let names: Vec<(String, SocketAddr)> = order.into_iter().take(32).map(|(of, _)| of.clone()).collect();
-        let mut size = postcard::to_allocvec(&out).map_or(0, |bytes| bytes.len()) + 2;
-        for of in names {
-            let Some(heard) = self.heard.get_mut(&of) else { continue };
-            let passed: Passed =
-                (heard.word.clone(), now.saturating_sub(heard.at).min(u64::from(u32::MAX)) as u32);
-            let more = postcard::to_allocvec(&passed).map_or(usize::MAX, |bytes| bytes.len());
-            if size.saturating_add(more) > room {
-                break;
-            }
-            size += more;
-            heard.told = heard.told.saturating_add(1);
-            out.push(passed);
-        }
-        postcard::to_allocvec(&out).ok().filter(|bytes| !out.is_empty() && bytes.len() <= room)
-    }
-
-    /// The words that were news.
-    pub fn heard(&mut self, now: Ms, own: &Member, bytes: &[u8]) -> Vec<Word> {
-        let Ok(words) = postcard::from_bytes::<Vec<Passed>>(bytes) else { return Vec::new() };
-        let mut news = Vec::new();
-        for (word, age) in words {
-            // Nobody else speaks for this server.
-            if !word.is_sound() || age > AGE_MOST || (word.of.name == own.name && word.of.at == own.at) {
-                continue;
-            }
-            let key = (word.of.name.clone(), word.of.at);
-            let newest = (word.of.started, word.number);
-            let known = self.heard.get(&key).map(|heard| (heard.word.of.started, heard.word.number));
-            if known.is_some_and(|known| known >= newest)
-                || (known.is_none() && self.heard.len() >= SOURCES_MOST)
-            {
-                continue;
-            }
-            let at = now.saturating_sub(Ms::from(age));
-            self.heard.insert(key, Heard { word: word.clone(), at, told: 0 });
-            news.push(word);
-        }
-        news
-    }
+impl Saying for Word {
+    const FORGET: Ms = FORGET;
 
-    pub fn forget(&mut self, now: Ms) {
-        self.heard.retain(|_, heard| now.saturating_sub(heard.at) <= FORGET);
+    fn of(&self) -> &Member {
+        &self.of
     }
 
-    pub fn all(&self) -> impl Iterator<Item = &Heard> {
-        self.heard.values()
+    fn number(&self) -> u64 {
+        self.number
     }
 
-    pub fn of(&self, member: &Member) -> Option<&Heard> {
-        self.heard.get(&(member.name.clone(), member.at))
+    fn is_sound(&self) -> bool {
+        let reason = self.turned_down.as_ref().is_none_or(|(_, why)| why.len() <= REASON_MOST);
+        let orders = self.orders.len() <= ORDERS_MOST && self.orders.iter().all(Order::is_sound);
+        self.of.is_sound() && reason && orders && self.ok <= self.rpcs
     }
 }
 
+/// What all servers say of themselves, as far as it was heard here.
+pub type Words = Spread<Word>;
+
 #[cfg(test)]
 pub mod tests {
     use super::*;
@@ -166,10 +110,11 @@
             turned_down: None,
             chain: [0; 8],
             entries: 0,
+            orders: Vec::new(),
         }
     }
 
-    fn pass(words: &[Passed]) -> Vec<u8> {
+    fn pass(words: &[(Word, u32)]) -> Vec<u8> {
         postcard::to_allocvec(words).unwrap()
     }
 
@@ -207,7 +152,7 @@
         for _ in 0..8 {
             let bytes = words.said(0, 400).unwrap();
             assert!(bytes.len() <= 400);
-            let said: Vec<Passed> = postcard::from_bytes(&bytes).unwrap();
+            let said: Vec<(Word, u32)> = postcard::from_bytes(&bytes).unwrap();
             assert_eq!(said[0].0.of.name, "me");
             seen.extend(said.into_iter().map(|(word, _)| word.of.name));
         }
--- a/crates/coralstep-levels/src/machine.rs
+++ b/crates/coralstep-levels/src/machine.rs
@@ -192,6 +192,7 @@
             least_criticality: does.least_criticality,
             effects_only: does.effects_only,
             closed: does.closed,
+            out: false,
             skip_calls: does.skip_calls,
             hold: does.hold,
             value: does.value,
--- a/crates/coralstep-route/src/lib.rs
+++ b/crates/coralstep-route/src/lib.rs
@@ -156,6 +156,18 @@
         }
     }
 
+    /// All targets, a target as often as routes lead to it.
+    pub fn all(&self) -> impl Iterator<Item = &T> {
+        let mut rest = vec![&self.root];
+        std::iter::from_fn(move || {
+            let node = rest.pop()?;
+            rest.extend(node.words.values());
+            rest.extend(node.any.as_deref());
+            Some(node.here.iter().chain(&node.rest).map(|(_, target)| target))
+        })
+        .flatten()
+    }
+
     pub fn len(&self) -> usize {
         self.count
     }
--- a/crates/coralstep-server/src/base/config.rs
+++ b/crates/coralstep-server/src/base/config.rs
@@ -8,6 +8,7 @@
 use coralstep::{Preemption, Terms};
 use coralstep_terms::Names;
 use coralstep_terms::site::SiteTerms;
+use coralstep_terms::starves;
 use serde_json::Value;
 
 /// The limits where the configuration states none: the largest that are given anywhere.
@@ -102,6 +103,7 @@
         if let Some((path, text)) = site {
             let named = |why: String| format!("{}: {why}", path.display());
             config.site = SiteTerms::parse(&text, &config.names).map_err(named)?;
+            starves::check(&config.site, None, &config.names, &config.terms).map_err(named)?;
         }
         config.check().map_err(|why| format!("{}: {why}", self.config.display()))?;
         Ok(config)
--- a/crates/coralstep-server/src/decisions/facade.rs
+++ b/crates/coralstep-server/src/decisions/facade.rs
@@ -609,10 +609,16 @@
         self.shut.set(back.is_some());
         // Let in, it goes back to the level that holds: guards against a moment of full service in between.
         let open = || self.levels.as_ref().map_or_else(Level::default, |levels| levels.effect());
-        let level = back.map_or_else(open, |back| Level { closed: true, back, ..Level::default() });
+        let level =
+            back.map_or_else(open, |back| Level { closed: true, out: true, back, ..Level::default() });
         self.happen(|server, now, desk| server.level(now, level, desk));
     }
 
+    /// Another version of the settings holds for what is read from now on.
+    pub fn versioned(&self) {
+        self.happen(|server, _, _| server.versioned());
+    }
+
     /// RPCs picked since the start, and of these those whose runs ended well.
     pub fn counts(&self) -> (u64, u64) {
         (self.picked.get(), self.ran.get())
--- a/crates/coralstep-server/src/fleet/carrier.rs
+++ b/crates/coralstep-server/src/fleet/carrier.rs
@@ -47,9 +47,12 @@
     recorder: Option<Recorder>,
     /// The record has changed and was not handed over yet.
     changed: Cell<bool>,
+    /// For tests: whether the wall clock may be stepped, and by how much it is.
+    steps: bool,
+    offset_ms: Cell<i64>,
 }
 
-fn wall_ms() -> u64 {
+fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since.map_or(0, |since| since.as_millis() as u64)
 }
@@ -97,7 +100,7 @@
         let socket = socket.map_err(|why| format!("fleet.listen: {}: {why}", terms.listen))?;
         let bound = socket.get_ref().local_addr().map_err(|why| format!("fleet.listen: {why}"))?;
         let start = Instant::now();
-        let own = Member::new(name, terms.advertise.unwrap_or(bound), wall_ms());
+        let own = Member::new(name, terms.advertise.unwrap_or(bound), unix_ms());
         if !own.is_sound() {
             return Err(format!("name: {name:?} is none that a fleet can hear"));
         }
@@ -110,7 +113,7 @@
             silent_shuts: terms.silent == Silent::ShutOut,
             seed,
         };
-        let mut fleet = Fleet::new(terms_, 0, wall_ms());
+        let mut fleet = Fleet::new(terms_, 0, unix_ms());
         let recorder = folder.and_then(Recorder::start).map(|(recorder, found)| {
             if !(found.acts_on.is_empty() && found.entries.is_empty())
                 && let Some(id) = fleet.restore(&found.acts_on, &found.entries)
@@ -122,6 +125,8 @@
         Ok(Carrier {
             recorder,
             changed: Cell::new(false),
+            steps: terms.clock_steps,
+            offset_ms: Cell::new(0),
             fleet: RefCell::new(fleet),
             socket,
             networks: terms.networks.clone(),
@@ -136,6 +141,11 @@
         self.socket.get_ref().local_addr().ok()
     }
 
+    /// The Unix clock, for people and for the order across servers.
+    fn wall_ms(&self) -> u64 {
+        unix_ms().saturating_add_signed(self.offset_ms.get())
+    }
+
     fn now(&self) -> Ms {
         self.start.elapsed().as_millis() as Ms
     }
@@ -189,14 +199,14 @@
     fn heard(&self, bytes: &[u8], from: SocketAddr) {
         let listed = self.networks.iter().any(|network| network.contains(&from.ip()));
         // Guards against a peer's bytes that end the process by a fault in what reads them.
-        let read = || self.fleet.borrow_mut().heard(self.now(), wall_ms(), bytes).is_ok();
+        let read = || self.fleet.borrow_mut().heard(self.now(), self.wall_ms(), bytes).is_ok();
         let heard = listed && catch_unwind(AssertUnwindSafe(read)).unwrap_or(false);
         self.faults.set(self.faults.get() + u64::from(!heard));
     }
 
     fn tick(&self, facade: &Facade, take: &Take) {
         let now = self.now();
-        self.fleet.borrow_mut().tick(now, wall_ms(), facade.counts());
+        self.fleet.borrow_mut().tick(now, self.wall_ms(), facade.counts());
         let pending = self.fleet.borrow_mut().pending(now);
         if let Some((id, version)) = pending {
             // Taken up without a hold on the fleet: what it changes may ask.
@@ -204,7 +214,8 @@
             let mut fleet = self.fleet.borrow_mut();
             match taken {
                 Ok(()) => {
-                    fleet.took(now, wall_ms(), id);
+                    facade.versioned();
+                    fleet.took(now, self.wall_ms(), id);
                     self.changed.set(true);
                 }
                 Err(why) => fleet.turned_down(now, id, &why),
@@ -238,7 +249,7 @@
 
     /// Tells the others that this server leaves.
     pub fn leave(&self) {
-        self.fleet.borrow_mut().leave(self.now(), wall_ms());
+        self.fleet.borrow_mut().leave(self.now(), self.wall_ms());
         self.flush();
     }
 
@@ -282,19 +293,25 @@
     }
 
     pub fn publish(&self, content: String, must: bool, waves: Vec<f32>, pause_ms: u64) -> Result<Id, String> {
-        let id = self.fleet.borrow_mut().publish(self.now(), wall_ms(), content, must, waves, pause_ms)?;
+        let id =
+            self.fleet.borrow_mut().publish(self.now(), self.wall_ms(), content, must, waves, pause_ms)?;
         self.flush();
         Ok(id)
     }
 
-    /// Shuts this server out or lets it in, by hand; `server` must be its own name.
+    /// Shuts a server out or lets it in, by hand: this one, or any that is known here.
     pub fn by_hand(&self, server: &str, shut: bool) -> Result<(), String> {
-        let own = self.fleet.borrow().own().name.clone();
-        if server != own {
-            return Err(format!("this is {own}; ask {server} itself"));
-        }
-        self.fleet.borrow_mut().by_hand(self.now(), shut);
+        self.fleet.borrow_mut().by_hand(self.now(), server, shut)?;
         self.flush();
         Ok(())
     }
+
+    /// For tests: steps the wall clock that this server goes by, where its site file lets it.
+    pub fn step_clock(&self, offset_ms: i64) -> Result<(), String> {
+        if !self.steps {
+            return Err("the site file's fleet.clock_steps is not set".to_owned());
+        }
+        self.offset_ms.set(offset_ms);
+        Ok(())
+    }
 }
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -7,7 +7,7 @@
 //! `decisions::facade` is the way to the decisions; the fronts in `callers` read RPCs, `runs::course` leads each of them through what was
 //! decided, at `runs::engine` or `runs::applications` and at `dependency::store`. One thread, no lock, and no borrow of shared state is
 //! held while waiting.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::net::{SocketAddr, TcpListener};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -117,10 +117,12 @@
         applications,
         levels: facade.levels().cloned(),
         versioned: Cell::new(false),
+        holds: RefCell::default(),
     });
     let take: Take = {
-        let (movable, site, names) = (movable.clone(), site.clone(), config.names.clone());
-        Box::new(move |content| reload::take_version(content, &site, &names, &movable))
+        let (movable, site) = (movable.clone(), site.clone());
+        let (names, terms) = (config.names.clone(), config.terms.clone());
+        Box::new(move |content| reload::take_version(content, &site, &names, &terms, &movable))
     };
     let forever = async {
         let mut parts: Vec<Part<'_>> = vec![
--- a/crates/coralstep-server/src/life/reload.rs
+++ b/crates/coralstep-server/src/life/reload.rs
@@ -1,12 +1,14 @@
 //! SIGHUP: the configuration is read again, and the links move to the addresses that it now states.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use async_signal::{Signal, Signals};
+use coralstep::Terms;
 use coralstep_terms::Names;
 use coralstep_terms::site::SiteTerms;
+use coralstep_terms::starves;
 use futures_lite::StreamExt;
 
 use crate::base::config::{Config, Source};
@@ -29,6 +31,8 @@
     pub levels: Option<Rc<Kept>>,
     /// These sections are those of a version of the fleet's; the site file's stay behind them.
     pub versioned: Cell<bool>,
+    /// The version's, where one was taken.
+    pub holds: RefCell<Option<SiteTerms>>,
 }
 
 /// Takes up each new configuration; one that is at fault changes nothing.
@@ -57,18 +61,40 @@
     note!("reload: engine at {engine}, store at {store}, control plane at {control}");
 }
 
-/// Takes up a version of the fleet's settings on top of what the site file says, or says why not; then nothing has changed.
-pub fn take_version(content: &str, site: &SiteTerms, names: &Names, movable: &Movable) -> Result<(), String> {
-    let new = site.with_version(content, names)?;
-    if let (Some(levels), Some(terms)) = (&movable.levels, &new.levels) {
+/// The sections that a version may set are those of `site` from now on, or the first that can't be, and why.
+fn put(site: &SiteTerms, names: &Names, movable: &Movable) -> Result<(), String> {
+    if let (Some(levels), Some(terms)) = (&movable.levels, &site.levels) {
         levels.reload(terms)?;
     }
-    if let (Some(front), Some(terms)) = (&movable.scgi, &new.scgi) {
+    if let (Some(front), Some(terms)) = (&movable.scgi, &site.scgi) {
         front.reload(terms, names)?;
     }
-    if let (Some(applications), Some(terms)) = (&movable.applications, &new.applications) {
+    if let (Some(applications), Some(terms)) = (&movable.applications, &site.applications) {
         applications.reload(terms);
     }
+    Ok(())
+}
+
+/// Takes up a version of the fleet's settings on top of what the site file says, or says why not; then nothing has changed.
+pub fn take_version(
+    content: &str,
+    site: &SiteTerms,
+    names: &Names,
+    terms: &Terms,
+    movable: &Movable,
+) -> Result<(), String> {
+    let new = site.with_version(content, names)?;
+    starves::check(&new, Some(site), names, terms)?;
+    let before = movable.holds.replace(Some(new.clone()));
+    if let Err(why) = put(&new, names, movable) {
+        // Guards against a version that is turned down and yet leaves some of its sections behind.
+        let old = before.clone().unwrap_or_else(|| site.clone());
+        movable.holds.replace(before);
+        return match put(&old, names, movable) {
+            Ok(()) => Err(why),
+            Err(worse) => Err(format!("{why}; and what was there before: {worse}")),
+        };
+    }
     movable.versioned.set(true);
     Ok(())
 }
--- a/crates/coralstep-server/src/operators/ops.rs
+++ b/crates/coralstep-server/src/operators/ops.rs
@@ -62,6 +62,10 @@
     FleetLetIn {
         server: String,
     },
+    /// For tests: the wall clock that the server goes by is so far off from now on.
+    FleetClock {
+        offset_ms: i64,
+    },
 }
 
 enum Listener {
@@ -217,6 +221,9 @@
         FleetShutOut { server } => {
             done(carrier.by_hand(server, true).map(|()| json!({ "shut_out": server })))
         }
+        FleetClock { offset_ms } => {
+            done(carrier.step_clock(*offset_ms).map(|()| json!({ "offset_ms": offset_ms })))
+        }
         FleetLetIn { server } => done(carrier.by_hand(server, false).map(|()| json!({ "let_in": server }))),
         Levels | History | Hold { .. } | Release => return None,
     })
--- a/crates/coralstep-terms/src/lib.rs
+++ b/crates/coralstep-terms/src/lib.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 
 pub mod site;
+pub mod starves;
 mod value;
 pub use value::{amount, flag, parse};
 
--- a/crates/coralstep-terms/src/site.rs
+++ b/crates/coralstep-terms/src/site.rs
@@ -93,6 +93,9 @@
     /// What it does where it hears nobody.
     #[serde(default)]
     pub silent: Silent,
+    /// For tests alone: the wall clock may be stepped by the operators' door.
+    #[serde(default)]
+    pub clock_steps: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, JsonSchema)]
--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -165,7 +165,8 @@
     }
 
     fn of_limit(site: &Site, rpc: &Rpc, span: Span) -> f64 {
-        span.0 as f64 / (site.method(rpc).target.0.max(1) as f64 * HOLD_SHARE * site.level.hold.max(0.01))
+        span.0 as f64
+            / (site.method(rpc).target.0.max(1) as f64 * HOLD_SHARE * site.under(rpc).hold.max(0.01))
     }
 
     /// The most valuable of those that `may` start.
@@ -338,7 +339,10 @@
         let Some(rpc) = self.site.get_mut(id).filter(|rpc| rpc.place == Place::Running) else { return };
         rpc.calls = 0;
         self.site.put(id, Place::Waiting);
-        if self.site.level.skip_calls && self.site.get(id).is_some_and(|rpc| self.site.method(rpc).skip > 0.0)
+        if self
+            .site
+            .get(id)
+            .is_some_and(|rpc| self.site.under(rpc).skip_calls && self.site.method(rpc).skip > 0.0)
         {
             self.without_call(id, ADVICE, out);
         }
@@ -468,7 +472,7 @@
         let shut = self.breaker.shut(now);
         match rpc.place {
             Place::Held if leaving => self.site.push_back(id, AWAY_ADVICE, out),
-            Place::Held if self.site.level.sheds(&method) => self.site.push_back(id, back, out),
+            Place::Held if self.site.under(rpc).sheds(&method) => self.site.push_back(id, back, out),
             Place::Held if due || Hold::part(&self.site, rpc) >= 1.0 => {
                 // What must call is told when the breaker may let it through.
                 let must = method.calls && method.skip == 0.0;
--- a/crates/coralstep/src/level.rs
+++ b/crates/coralstep/src/level.rs
@@ -31,6 +31,8 @@
     /// Only tokened and non-idempotent methods are let in.
     pub effects_only: bool,
     pub closed: bool,
+    /// The server is shut out: closed for all that it has read, under whatever version.
+    pub out: bool,
     /// Calls that may be left out are.
     pub skip_calls: bool,
     /// The hold limit, as a part of the usual one.
@@ -48,6 +50,7 @@
             least_criticality: 0.0,
             effects_only: false,
             closed: false,
+            out: false,
             skip_calls: false,
             hold: 1.0,
             value: 1.0,
@@ -60,6 +63,7 @@
     /// Whether an RPC of `method` is turned away before it runs.
     pub fn sheds(&self, method: &Method) -> bool {
         self.closed
+            || self.out
             || (self.effects_only && method.effect == Effect::Idempotent)
             || method.criticality < self.least_criticality
     }
--- a/crates/coralstep/src/site.rs
+++ b/crates/coralstep/src/site.rs
@@ -6,6 +6,9 @@
 use crate::door::*;
 use crate::level::Level;
 
+/// Versions of the settings that RPCs here may have been read under: more come only if several change within one deadline.
+const VERSIONS: usize = 8;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Place {
     Held,
@@ -46,6 +49,8 @@
     /// Calls made for its present need.
     pub calls: u32,
     pub token_until: Option<Time>,
+    /// The settings' version that it was read under.
+    pub version: u32,
     /// The try that took its token over.
     pub heir: Option<RpcId>,
 }
@@ -177,6 +182,9 @@
     pub called: Time,
     /// The level of reduced service that holds.
     pub level: Level,
+    /// The version of the settings, and the last level under each of those before it.
+    version: u32,
+    before: [Level; VERSIONS],
     /// How long RPCs waited unread.
     pub reads: Histogram,
     pub asked: Vec<Tally>,
@@ -213,6 +221,8 @@
             calls: Histogram::default(),
             called: now,
             level: Level::default(),
+            version: 0,
+            before: [Level::default(); VERSIONS],
             reads: Histogram::default(),
             asked: vec![Tally::default(); terms.methods.len()],
             tenants: vec![Tally::default(); terms.tenant_rates.len()],
@@ -252,6 +262,22 @@
         self.methods[rpc.method]
     }
 
+    /// The level that an RPC is decided under, from read to answer: that of the version it was read under. One that is out for every
+    /// RPC holds for all.
+    pub fn under(&self, rpc: &Rpc) -> &Level {
+        if rpc.version == self.version || self.level.out {
+            return &self.level;
+        }
+        &self.before[rpc.version as usize % VERSIONS]
+    }
+
+    /// Another version of the settings holds from now on.
+    pub fn versioned(&mut self) {
+        self.before[self.version as usize % VERSIONS] =
+            if self.level.out { Level::default() } else { self.level };
+        self.version = self.version.wrapping_add(1);
+    }
+
     /// The try that `prior` stands for now.
     pub fn latest(&self, mut prior: Prior) -> Prior {
         while let Prior::Of(old) = prior {
@@ -317,6 +343,7 @@
             overran: false,
             calls: 0,
             token_until: None,
+            version: self.version,
             heir: None,
         };
         if !arrival.retry {
--- a/crates/coralstep/tests/scenarios.rs
+++ b/crates/coralstep/tests/scenarios.rs
@@ -126,6 +126,7 @@
         least_criticality: get("least", 0.0),
         effects_only: words.contains(&"effects_only"),
         closed: words.contains(&"closed"),
+        out: false,
         skip_calls: words.contains(&"skip_calls"),
         hold: get("hold", 1.0),
         value: get("value", 1.0),
