Limits for the whole fleet: shares in one hand at a time, from one keeper at a time

Need: a tenant's limit times 300 servers is no limit. Change: coralstep-limits (terms, tenure by votes that lapse, keeper, holder, a rider of the fleet's channel; no I/O), riders as a trait of coralstep-fleet, `limits` in the site file and in versions, fleet.keepers and lease_ms, a look before the decisions, `coralstep fleet limits`. Of two versions the lower limits hold. A repeat of a token that is here costs no share.

--- a/crates/coralstep-fleet/src/envelope.rs
+++ b/crates/coralstep-fleet/src/envelope.rs
@@ -18,6 +18,10 @@
     Members,
     Words,
     Versions,
+    Limits,
+    LimitLetter,
+    Verdicts,
+    VerdictLetter,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/coralstep-fleet/src/fleet.rs
+++ b/crates/coralstep-fleet/src/fleet.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::envelope::{self, Datagram, Fault, Rider, SENT_MOST};
 use crate::members::{Change, Member, Members, State};
+use crate::rider::{Letter as RiderLetter, Riding, View};
 use crate::spread::SOURCES_MOST;
 use crate::straggler::{Bounds, Facts, Shut, Straggler};
 use crate::versions::{Id, Letter, Version, Versions, worse};
@@ -101,6 +102,9 @@
     own_due: Ms,
     stopped: Option<Id>,
     clock_off: Vec<String>,
+    riders: Vec<Riding>,
+    /// Whose turn it is to fill a datagram first: the words', then each rider's.
+    turn: usize,
     send: Vec<(SocketAddr, Vec<u8>)>,
     events: Vec<Event>,
 }
@@ -132,6 +136,8 @@
             own_due: now,
             stopped: None,
             clock_off: Vec::new(),
+            riders: Vec::new(),
+            turn: 0,
             send: Vec::new(),
             events: Vec::new(),
             clock,
@@ -180,6 +186,17 @@
                     }
                     answers.into_iter().for_each(|answer| self.letter(wall_ms, datagram.from.at, &answer));
                 }
+                other => {
+                    let seat =
+                        self.riders.iter().find(|(seat, _)| [seat.spread(), seat.letter()].contains(other));
+                    let Some((seat, rider)) = seat.cloned() else { continue };
+                    if *other == seat.spread() {
+                        rider.borrow_mut().heard(now, self.members.own(), bytes);
+                    } else {
+                        let letters = rider.borrow_mut().letter(now, &datagram.from, bytes);
+                        self.post(wall_ms, seat.letter(), letters);
+                    }
+                }
             }
         }
         self.collect(wall_ms, now);
@@ -210,6 +227,65 @@
         datagram
     }
 
+    /// Lets `rider` ride from now on.
+    pub fn ride(&mut self, rider: Riding) {
+        self.riders.push(rider);
+    }
+
+    /// A rider's letters go out, each as a datagram of its own.
+    fn post(&mut self, wall_ms: u64, rider: Rider, letters: Vec<RiderLetter>) {
+        for (to, bytes) in letters {
+            let mut datagram = self.datagram(wall_ms, to);
+            datagram.parts.push((rider, bytes));
+            if self.send.len() < QUEUE_MOST {
+                self.send.push((to, datagram.bytes()));
+            }
+        }
+    }
+
+    /// The riders' time passes.
+    fn ride_on(&mut self, now: Ms, wall_ms: u64) {
+        if self.riders.is_empty() {
+            return;
+        }
+        let riders = self.riders.clone();
+        let letters: Vec<_> = {
+            let view = View {
+                own: self.members.own(),
+                present: self.members.present().collect(),
+                current: self.current().collect(),
+                shut: self.members.present().filter(|member| self.is_out(member)).collect(),
+                leaving: self.leaving || self.straggler.shut().is_some(),
+            };
+            riders.iter().map(|(seat, rider)| (seat.letter(), rider.borrow_mut().tick(now, &view))).collect()
+        };
+        letters.into_iter().for_each(|(seat, letters)| self.post(wall_ms, seat, letters));
+    }
+
+    /// What datagrams have room for beside the members' part: words and what riders spread, in turn, so that none starves.
+    fn filled(&mut self, now: Ms, mut room: usize) -> Vec<(Rider, Vec<u8>)> {
+        let all = self.riders.len() + 1;
+        self.turn = (self.turn + 1) % all;
+        let mut parts = Vec::new();
+        for at in 0..all {
+            let left = all - at;
+            // Whoever comes first leaves a part for the others, the last takes what is left.
+            let may = if left == 1 { room } else { room * 3 / 5 };
+            let part = match (self.turn + at) % all {
+                0 => self.words.said(now, may).map(|bytes| (Rider::Words, bytes)),
+                rider => {
+                    let (seat, rider) = &self.riders[rider - 1];
+                    rider.borrow_mut().said(now, may).map(|bytes| (seat.spread(), bytes))
+                }
+            };
+            if let Some(part) = part {
+                room = room.saturating_sub(part.1.len() + 4);
+                parts.push(part);
+            }
+        }
+        parts
+    }
+
     fn letter(&mut self, wall_ms: u64, to: SocketAddr, letter: &Letter) {
         let mut datagram = self.datagram(wall_ms, to);
         datagram.parts.push((Rider::Versions, postcard::to_allocvec(letter).unwrap_or_default()));
@@ -224,7 +300,7 @@
             let mut datagram = self.datagram(wall_ms, to.at);
             let room = SENT_MOST.saturating_sub(HEAD + bytes.len());
             datagram.parts.push((Rider::Members, bytes));
-            datagram.parts.extend(self.words.said(now, room).map(|words| (Rider::Words, words)));
+            datagram.parts.extend(self.filled(now, room));
             if self.send.len() < QUEUE_MOST {
                 self.send.push((to.at, datagram.bytes()));
             }
@@ -294,6 +370,7 @@
         let asks = self.versions.ask(now, holders, chance);
         asks.into_iter().for_each(|(of, letter)| self.letter(wall_ms, of.at, &letter));
         self.judge(now);
+        self.ride_on(now, wall_ms);
         self.collect(wall_ms, now);
     }
 
@@ -498,6 +575,8 @@
     pub fn leave(&mut self, now: Ms, wall_ms: u64) {
         self.leaving = true;
         self.say();
+        // What riders give back goes out while others still take it from a member.
+        self.ride_on(now, wall_ms);
         self.members.leave(now);
         self.collect(wall_ms, now);
     }
@@ -555,14 +634,19 @@
         all
     }
 
+    /// Whether a member is known to be shut out, by itself or by an operator.
+    fn is_out(&self, member: &Member) -> bool {
+        let ordered = self.ordered.get(&member.name).is_some_and(|order| order.shut);
+        ordered || self.words.of(member).is_some_and(|heard| heard.word.shut)
+    }
+
     /// Members whose reports count: there, current, not shut out.
     pub fn current(&self) -> impl Iterator<Item = &Member> {
         let newest = self.versions.newest();
         self.members.present().filter(move |member| {
             let heard = self.words.of(member).map(|heard| &heard.word);
             heard.is_some_and(|word| {
-                let out = self.ordered.get(&member.name).is_some_and(|order| order.shut);
-                !out && !word.shut && !word.leaving && (word.acts_on == newest || word.knows == newest)
+                !self.is_out(member) && !word.leaving && (word.acts_on == newest || word.knows == newest)
             })
         })
     }
--- a/crates/coralstep-fleet/tests/virtual_time.rs
+++ b/crates/coralstep-fleet/tests/virtual_time.rs
@@ -511,7 +511,7 @@
             Act::Pause(one) => world.servers.get_mut(one).unwrap().paused ^= true,
             Act::Restart(one) => world.start(*one),
             Act::Publish(one) => {
-                drop(world.publish(*one, &format!("{{\"{number}\":1}}"), false, Vec::new(), 0))
+                _ = world.publish(*one, &format!("{{\"{number}\":1}}"), false, Vec::new(), 0)
             }
             Act::Order(at, of, shut) => {
                 let now = world.now;
--- a/crates/coralstep-lab/src/cli/explore.rs
+++ b/crates/coralstep-lab/src/cli/explore.rs
@@ -2,6 +2,7 @@
 use coralstep_lab::explore::fleet::{Fleet, Scope as FleetScope};
 use coralstep_lab::explore::module::{Cheat, Module, PRELUDES, Prelude, Scope};
 use coralstep_lab::explore::pool::{Pool, Scope as PoolScope};
+use coralstep_lab::explore::shares::{Prelude as SharesPrelude, Scope as SharesScope, Shares};
 use coralstep_lab::explore::straggler::{Lag, Scope as LagScope};
 use coralstep_lab::explore::{Play, Walked, exhaust, wander};
 
@@ -48,6 +49,11 @@
     for (name, silent_shuts) in [("straggler, silent serves", false), ("straggler, silent shuts", true)] {
         walks.push((name.to_owned(), walk::<Lag>(LagScope { silent_shuts, ..LagScope::default() })));
     }
+    for (name, prelude) in
+        [("limits, fresh", SharesPrelude::Fresh), ("limits, settled", SharesPrelude::Settled)]
+    {
+        walks.push((name.to_owned(), walk::<Shares>(SharesScope { prelude, ..SharesScope::default() })));
+    }
     walks.push(("pool, shut".to_owned(), walk::<Pool>(PoolScope::Shut)));
     let results = side_by_side(0..walks.len() as u64, call.threads, |at| walks[at as usize].1(call));
     let mut sound = true;
--- a/crates/coralstep-lab/src/explore/mod.rs
+++ b/crates/coralstep-lab/src/explore/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod module;
 pub mod pool;
+pub mod shares;
 pub mod straggler;
 
 /// Something with a state that moves change.
--- /dev/null
+++ b/crates/coralstep-lab/src/explore/shares.rs
@@ -0,0 +1,180 @@
+//! Limits of a fleet in a small scope: three servers that may all give, on clocks that run apart, one limit on what is in hand and one on the
+//! rate. Whatever happens to letters and processes, the limits hold at every moment, one gives at the most, and when the trouble is
+//! over all that is free is in use again within the stated bound.
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use coralstep_limits::Kind;
+use coralstep_limits::bounds::{free_after_crash, keeper_after_crash, stretched};
+use coralstep_limits::terms::CutOff;
+
+use super::Play;
+use crate::shares::{Cheat, World, limit};
+
+const SERVERS: usize = 3;
+pub const LEASE: u64 = 4_000;
+/// RPCs are answered within so long.
+const HOLDS: u64 = 1_500;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Prelude {
+    /// All have just been started.
+    #[default]
+    Fresh,
+    /// One gives, and all have shares in use.
+    Settled,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Scope {
+    pub prelude: Prelude,
+    pub cheat: Cheat,
+}
+
+pub struct Shares {
+    world: World,
+}
+
+const KINDS: [&str; 12] = [
+    "50 ms pass",
+    "700 ms pass",
+    "3 s pass",
+    "RPCs come to a server",
+    "RPCs come to all",
+    "the next letter is lost",
+    "the next letter comes again 5 s later",
+    "a server is killed and starts anew",
+    "a server is stopped, or goes on",
+    "a server is cut off",
+    "all links heal",
+    "a server leaves",
+];
+
+impl Shares {
+    fn rpcs(&mut self, server: usize, count: usize) {
+        for _ in 0..count {
+            let _ = self.world.rpc(server, HOLDS);
+        }
+    }
+}
+
+impl Play for Shares {
+    type Scope = Scope;
+
+    fn start(scope: &Scope) -> Shares {
+        let limits = [
+            limit(Kind::InHand(5), CutOff::Strict),
+            limit(Kind::Rate { rps: 4.0, burst: 8 }, CutOff::Strict),
+        ];
+        let mut world = World::new(SERVERS, SERVERS, &limits, LEASE, 7, scope.cheat);
+        if scope.prelude == Prelude::Settled {
+            world.pass(stretched(LEASE) + keeper_after_crash() + 1_000);
+            let mut shares = Shares { world };
+            for _ in 0..6 {
+                (0..SERVERS).for_each(|server| shares.rpcs(server, 2));
+                shares.world.pass(250);
+            }
+            return shares;
+        }
+        Shares { world }
+    }
+
+    fn moves(&self) -> Vec<u8> {
+        let possible = |what: &u8| {
+            let (kind, _) = (what / SERVERS as u8, what % SERVERS as u8);
+            match kind {
+                // One of a kind: these concern no server.
+                0 | 1 | 2 | 4 | 10 => what.is_multiple_of(SERVERS as u8),
+                5 | 6 => what.is_multiple_of(SERVERS as u8) && self.world.under_way() > 0,
+                _ => true,
+            }
+        };
+        (0..(KINDS.len() * SERVERS) as u8).filter(possible).collect()
+    }
+
+    fn step(&mut self, what: u8) {
+        let (kind, server) = (what / SERVERS as u8, usize::from(what) % SERVERS);
+        match kind {
+            0 => self.world.pass(50),
+            1 => self.world.pass(700),
+            2 => self.world.pass(3_000),
+            3 => self.rpcs(server, 6),
+            4 => (0..SERVERS).for_each(|server| self.rpcs(server, 3)),
+            5 => self.world.lose_next(),
+            6 => self.world.double_next(5_000),
+            7 => self.world.start(server),
+            8 => self.world.pause(server, self.world.is_up(server)),
+            9 => {
+                let others: Vec<usize> = (0..SERVERS).filter(|other| *other != server).collect();
+                self.world.cut(&[server], &others);
+            }
+            10 => self.world.heal(),
+            _ => self.world.leave(server),
+        }
+        // What follows from it at once is looked at, too.
+        self.world.pass(10);
+    }
+
+    fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.world.digest_text().hash(&mut hasher);
+        hasher.finish()
+    }
+
+    fn broken(&self) -> Option<&str> {
+        self.world.broken.as_deref()
+    }
+
+    fn comes_free(mut self) -> Option<String> {
+        self.world.heal();
+        for server in 0..SERVERS {
+            self.world.pause(server, false);
+        }
+        // Who left is replaced.
+        (0..SERVERS).for_each(|server| self.world.start(server));
+        self.world.pass(keeper_after_crash() + stretched(coralstep_limits::bounds::TENURE));
+        let kept = self.world.keeper().is_some();
+        self.world.pass(free_after_crash(LEASE, 500));
+        // All demand is at one: it gets all.
+        let mut most = 0;
+        for _ in 0..24 {
+            while self.world.rpc(1, HOLDS).is_ok() {}
+            self.world.pass(250);
+            most = most.max(self.world.units(1));
+        }
+        let broken = self.world.broken.clone();
+        let stuck = (!kept).then(|| "nobody gives".to_owned());
+        broken.or(stuck).or_else(|| (most < 5).then(|| format!("{most} of 5 units are in use")))
+    }
+
+    fn name(what: u8) -> &'static str {
+        KINDS[usize::from(what) / SERVERS % KINDS.len()]
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::{exhaust, wander};
+    use super::*;
+
+    #[test]
+    fn no_short_history_breaks_a_limit_and_each_planted_fault_is_found() {
+        for prelude in [Prelude::Fresh, Prelude::Settled] {
+            let scope = Scope { prelude, ..Scope::default() };
+            let walked = exhaust::<Shares>(&scope, 2, 400, |_, _| {});
+            assert_eq!(walked.fault.map(|fault| fault.told::<Shares>()), None, "{prelude:?}");
+            let long = wander::<Shares>(&scope, 10, 40, 1);
+            assert_eq!(long.fault.map(|fault| fault.told::<Shares>()), None, "{prelude:?}");
+        }
+        for (cheat, wanted) in [
+            (Cheat::StaleClock, ""),
+            (Cheat::Forgets, "give at the same time"),
+            (Cheat::Drifts, ""),
+            (Cheat::Admits, "may be"),
+        ] {
+            let scope = Scope { prelude: Prelude::Settled, cheat };
+            let fault = wander::<Shares>(&scope, 400, 40, 1).fault;
+            let why = fault.unwrap_or_else(|| panic!("{cheat:?} is not found")).why;
+            assert!(why.contains(wanted), "{cheat:?}: {why}");
+        }
+    }
+}
--- a/crates/coralstep-lab/src/fleet/judge.rs
+++ b/crates/coralstep-lab/src/fleet/judge.rs
@@ -3,6 +3,8 @@
 
 use serde::Serialize;
 
+use super::{Answer, Told};
+
 /// One process at one moment.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Seen {
@@ -108,10 +110,39 @@
     }
 }
 
+/// How far over `burst + rps * window` any window is, by what callers saw: RPCs that were sent and answered well within it were let in within
+/// it. At or under nought where the limit held.
+pub fn excess(answers: &[Answer], rps: f64, burst: f64) -> f64 {
+    let mut ok: Vec<&Answer> = answers.iter().filter(|answer| answer.told == Told::Ok).collect();
+    ok.sort_by(|a, b| a.sent_ms.total_cmp(&b.sent_ms));
+    let mut most = f64::MIN;
+    for (at, first) in ok.iter().enumerate() {
+        let mut ends: Vec<f64> = ok[at..].iter().map(|answer| answer.got_ms).collect();
+        ends.sort_by(f64::total_cmp);
+        for (count, end) in ends.iter().enumerate() {
+            most = most.max((count + 1) as f64 - burst - rps * (end - first.sent_ms) / 1000.0);
+        }
+    }
+    most
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_limit_that_is_broken_in_any_window_is_seen() {
+        let answer = |at: f64, told| Answer { at: 0, sent_ms: at, got_ms: at + 5.0, told };
+        let mut answers: Vec<Answer> =
+            (0..20).map(|number| answer(f64::from(number) * 100.0, Told::Ok)).collect();
+        assert!(excess(&answers, 10.0, 2.0) <= 0.0);
+        answers.extend((0..9).map(|_| answer(950.0, Told::PushedBack(1))));
+        assert!(excess(&answers, 10.0, 2.0) <= 0.0, "what was turned away was not let in");
+        answers.extend([answer(950.0, Told::Ok), answer(951.0, Told::Ok)]);
+        assert!(excess(&answers, 10.0, 2.0) > 0.5);
+        assert!(excess(&answers, 10.0, 4.0) <= 0.0);
+    }
+
     fn seen(at_ms: u64, process: usize, number: u64) -> Seen {
         Seen { at_ms, process, life: 1, acts_on: (number, "a".to_owned()), shut: false }
     }
--- a/crates/coralstep-lab/src/fleet/processes.rs
+++ b/crates/coralstep-lab/src/fleet/processes.rs
@@ -45,17 +45,28 @@
     pub store: Option<SocketAddr>,
     /// This server's share of the calls that the store survives.
     pub call_share: f64,
+    /// The site file's `limits`.
+    pub limits: Value,
 }
 
 impl Setup {
     pub fn new(fleet: Value) -> Setup {
-        Setup { fleet, work_ms: 2.0, store: None, call_share: 20.0 }
+        Setup { fleet, work_ms: 2.0, store: None, call_share: 20.0, limits: Value::Null }
     }
 }
 
+/// What runs on all engines together: how much now, and the most there ever was.
+#[derive(Debug, Default)]
+pub struct Crowd {
+    running: Vec<usize>,
+    pub most: usize,
+}
+
 struct Even {
     ms: f64,
     calls: bool,
+    at: usize,
+    crowd: Arc<Mutex<Crowd>>,
 }
 
 impl Work for Even {
@@ -63,6 +74,12 @@
         let calls = self.calls && method == METHODS[1];
         Some(if calls { (self.ms / 2.0, Some(self.ms / 2.0)) } else { (self.ms, None) })
     }
+
+    fn crowd(&mut self, running: usize) {
+        let mut crowd = lock(&self.crowd);
+        crowd.running[self.at] = running;
+        crowd.most = crowd.most.max(crowd.running.iter().sum());
+    }
 }
 
 struct Process {
@@ -94,6 +111,8 @@
     setup: Setup,
     /// Each process's way to the store.
     ways: Vec<Wire>,
+    /// Of the engines, not of what the processes say.
+    pub crowd: Arc<Mutex<Crowd>>,
     control: UdpSocket,
     sent: AtomicU64,
     /// Processes that are booted from now on keep a folder over their restarts.
@@ -135,6 +154,7 @@
             processes,
             setup,
             ways,
+            crowd: Arc::new(Mutex::new(Crowd { running: vec![0; count], most: 0 })),
             control,
             sent: AtomicU64::new(0),
             keeps: false,
@@ -157,7 +177,8 @@
             EngineTerms { cores: 2, crowd: 8.0, speed: 1.0, cold: None, breaks: None, never_ends: false };
         let plight: Arc<Mutex<Plight>> = Arc::default();
         let store = self.ways.get(at).map(|way| way.address);
-        let work = Even { ms: self.setup.work_ms, calls: store.is_some() };
+        lock(&self.crowd).running[at] = 0;
+        let work = Even { ms: self.setup.work_ms, calls: store.is_some(), at, crowd: self.crowd.clone() };
         let engine = Engine::serve(std::net::TcpListener::bind("127.0.0.1:0")?, terms, work, plight)?;
         let settings = json!({
             "classes": [
@@ -202,6 +223,9 @@
         {
             site.remove("fleet");
         }
+        if !self.setup.limits.is_null() {
+            site["limits"] = self.setup.limits.clone();
+        }
         if self.keeps {
             site["state"] = json!({"folder": self.folder.join(format!("state-{at}"))});
         }
--- a/crates/coralstep-lab/src/lib.rs
+++ b/crates/coralstep-lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod report;
 pub mod rules;
 pub mod search;
+pub mod shares;
 pub mod simulate;
 pub mod world;
 
--- a/crates/coralstep-server/src/cli/fleet.rs
+++ b/crates/coralstep-server/src/cli/fleet.rs
@@ -14,9 +14,10 @@
        coralstep fleet publish FILE [--must] [--waves 0.05,0.3,1 [--pause SECONDS]] --at WHERE [--json]
        coralstep fleet versions --at WHERE [--json]
        coralstep fleet audit [--version V] [--server S] [--time MS] --at WHERE [--json]
+       coralstep fleet limits --at WHERE [--json]
        coralstep fleet shut-out|let-in SERVER --at WHERE [--json]
 
-WHERE is the site file's operator.listen: ADDRESS:PORT or unix:PATH. FILE is JSON with sections of the site file: levels, scgi, applications.
+WHERE is the site file's operator.listen: ADDRESS:PORT or unix:PATH. FILE is JSON with sections of the site file: levels, scgi, applications, limits.
 V is a version or its number, MS a moment in Unix milliseconds. --json: one object a line. Exit status: 0, 1 where the server or the file
 says no, 2 for a call that is not understood.
 ";
@@ -69,6 +70,7 @@
         (Some("members"), None) => Question::FleetMembers,
         (Some("versions"), None) => Question::FleetVersions,
         (Some("audit"), None) => Question::FleetAudit { version, server, at_ms: time },
+        (Some("limits"), None) => Question::FleetLimits,
         (Some("shut-out"), Some(server)) => Question::FleetShutOut { server },
         (Some("let-in"), Some(server)) => Question::FleetLetIn { server },
         (Some("publish"), Some(file)) => {
@@ -104,7 +106,7 @@
     if let Some(why) = said["error"].as_str() {
         return Err(why.to_owned());
     }
-    let rows = ["members", "versions", "audit"].iter().find_map(|key| said[key].as_array());
+    let rows = ["members", "versions", "audit", "limits"].iter().find_map(|key| said[key].as_array());
     match (rows, json) {
         (Some(rows), true) => rows.iter().for_each(|row| println!("{row}")),
         (Some(rows), false) => print!("{}", table(rows)),
--- a/crates/coralstep-server/src/decisions/facade.rs
+++ b/crates/coralstep-server/src/decisions/facade.rs
@@ -12,6 +12,7 @@
     Arrival, Gauges, Learned, Level, Outcome, Outlet, Prior, RpcId, Server, Span, Terms, Time, Turn,
 };
 use coralstep_levels::LevelTerms;
+use coralstep_limits::holder::{Pass, Which};
 use coralstep_terms::Names;
 use event_listener::Event;
 
@@ -23,6 +24,24 @@
 /// Says for how long nothing is to be admitted.
 pub type Gate = Rc<dyn Fn() -> Option<Span>>;
 
+/// The fleet's limits: takes a unit of each that is for an RPC, answered within so many milliseconds, or says after how many it should
+/// come back.
+pub trait Limiter {
+    fn take(&self, which: Which, covers_ms: u64) -> Result<Pass, u64>;
+    fn give_back(&self, pass: Pass);
+}
+
+/// What an RPC took of the fleet's limits; given back when dropped.
+pub struct Taken(Option<(Rc<dyn Limiter>, Pass)>);
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        if let Some((limiter, pass)) = self.0.take() {
+            limiter.give_back(pass);
+        }
+    }
+}
+
 /// What is known of an RPC once it is read.
 #[derive(Debug, Default)]
 pub struct Offer {
@@ -301,6 +320,7 @@
     ran: Cell<u64>,
     /// How long this server admits nothing, where the fleet says so: asked before each RPC.
     gate: RefCell<Option<Gate>>,
+    limiter: RefCell<Option<Rc<dyn Limiter>>>,
     shut: Cell<bool>,
 }
 
@@ -339,6 +359,7 @@
             picked: Cell::new(0),
             ran: Cell::new(0),
             gate: RefCell::default(),
+            limiter: RefCell::default(),
             shut: Cell::new(false),
         }
     }
@@ -599,6 +620,35 @@
         *self.gate.borrow_mut() = Some(gate);
     }
 
+    /// The fleet's limits hold from now on.
+    pub fn limiter(&self, limiter: Rc<dyn Limiter>) {
+        *self.limiter.borrow_mut() = Some(limiter);
+    }
+
+    /// Takes what `offer` needs of the fleet's limits, before anything else is decided of it; or says after how many milliseconds it should
+    /// come back. A repeat of what is here, or has run, costs nothing: it is not run again.
+    pub fn share(&self, offer: &Offer) -> Result<Taken, u64> {
+        let Some(limiter) = self.limiter.borrow().clone().filter(|_| !self.shut.get()) else {
+            return Ok(Taken(None));
+        };
+        if let Some(token) = &offer.token
+            && self.inner.borrow().desk.tokens.contains_key(&(offer.method, token.clone()))
+        {
+            return Ok(Taken(None));
+        }
+        let method = &self.terms.methods[offer.method];
+        let patience = offer.patience.map_or(method.deadline, |patience| patience.min(method.deadline));
+        let covers_ms = (patience.0.saturating_sub(offer.age.0)).div_ceil(10);
+        let which = Which { tenant: offer.tenant, method: offer.method, calls: method.calls };
+        match limiter.take(which, covers_ms) {
+            Ok(pass) => Ok(Taken(Some((limiter, pass)))),
+            Err(after_ms) => {
+                self.picked.set(self.picked.get() + 1);
+                Err(after_ms)
+            }
+        }
+    }
+
     /// Looks whether this server is shut out. Held RPCs are then answered at once, what has run goes on to its end.
     pub fn obey(&self) {
         let Some(gate) = self.gate.borrow().clone() else { return };
--- a/crates/coralstep-server/src/fleet/carrier.rs
+++ b/crates/coralstep-server/src/fleet/carrier.rs
@@ -11,7 +11,10 @@
 use coralstep::Span;
 use coralstep_fleet::audit::Filter;
 use coralstep_fleet::envelope::READ_MOST;
+use coralstep_fleet::rider::Seat;
 use coralstep_fleet::{Event, Fleet, Id, Member, Ms, State};
+use coralstep_limits::holder::{Pass, Which};
+use coralstep_limits::{Limit, Limits, terms};
 use coralstep_state::record::Record;
 use coralstep_terms::site::{FleetTerms, Silent};
 use futures_lite::FutureExt;
@@ -20,7 +23,7 @@
 use serde_json::{Value, json};
 
 use crate::base::log;
-use crate::decisions::facade::Facade;
+use crate::decisions::facade::{Facade, Limiter};
 use crate::fleet::record::Recorder;
 use crate::note;
 
@@ -34,6 +37,9 @@
 /// Takes up the content of a version, or says why not.
 pub type Take = Box<dyn Fn(&str) -> Result<(), String>>;
 
+/// The limits of a version's content, or of the site file alone.
+pub type LimitsOf = Box<dyn Fn(Option<&str>) -> Vec<Limit>>;
+
 pub struct Carrier {
     fleet: RefCell<Fleet>,
     socket: Async<UdpSocket>,
@@ -47,6 +53,10 @@
     recorder: Option<Recorder>,
     /// The record has changed and was not handed over yet.
     changed: Cell<bool>,
+    /// Shares of the limits, where somebody may give them; whose limits hold now: acted on, and to be acted on.
+    limits: Option<Rc<RefCell<Limits>>>,
+    limits_of: LimitsOf,
+    hold: Cell<Option<(Id, Id)>>,
     /// For tests: whether the wall clock may be stepped, and by how much it is.
     steps: bool,
     offset_ms: Cell<i64>,
@@ -95,7 +105,13 @@
 
 impl Carrier {
     /// `folder`: where the record is kept, where it is.
-    pub fn bind(terms: &FleetTerms, name: &str, seed: u64, folder: Option<&Path>) -> Result<Carrier, String> {
+    pub fn bind(
+        terms: &FleetTerms,
+        name: &str,
+        seed: u64,
+        folder: Option<&Path>,
+        limits_of: LimitsOf,
+    ) -> Result<Carrier, String> {
         let socket = UdpSocket::bind(terms.listen).and_then(Async::new);
         let socket = socket.map_err(|why| format!("fleet.listen: {}: {why}", terms.listen))?;
         let bound = socket.get_ref().local_addr().map_err(|why| format!("fleet.listen: {why}"))?;
@@ -114,6 +130,13 @@
             seed,
         };
         let mut fleet = Fleet::new(terms_, 0, unix_ms());
+        let limits = (!terms.keepers.is_empty()).then(|| {
+            let lease = u64::from(terms.lease_ms);
+            let limits = Limits::new(fleet.own(), &terms.keepers, lease, seed, 0);
+            let limits = Rc::new(RefCell::new(limits));
+            fleet.ride((Seat::Limits, limits.clone()));
+            limits
+        });
         let recorder = folder.and_then(Recorder::start).map(|(recorder, found)| {
             if !(found.acts_on.is_empty() && found.entries.is_empty())
                 && let Some(id) = fleet.restore(&found.acts_on, &found.entries)
@@ -125,6 +148,9 @@
         Ok(Carrier {
             recorder,
             changed: Cell::new(false),
+            limits,
+            limits_of,
+            hold: Cell::new(None),
             steps: terms.clock_steps,
             offset_ms: Cell::new(0),
             fleet: RefCell::new(fleet),
@@ -154,6 +180,9 @@
     pub fn guard(self: &Rc<Self>, facade: &Facade) {
         let carrier = self.clone();
         facade.gate(Rc::new(move || carrier.back()));
+        if self.limits.is_some() {
+            facade.limiter(self.clone());
+        }
     }
 
     fn back(&self) -> Option<Span> {
@@ -221,6 +250,7 @@
                 Err(why) => fleet.turned_down(now, id, &why),
             }
         }
+        self.set_limits(now);
         if self.changed.get()
             && let Some(recorder) = &self.recorder
         {
@@ -230,7 +260,29 @@
         facade.obey();
     }
 
+    /// Of the version that is acted on and the one that is to be acted on the lower limits hold: during a wave both are in use.
+    fn set_limits(&self, now: Ms) {
+        let Some(limits) = &self.limits else { return };
+        let fleet = self.fleet.borrow();
+        let (acts_on, wanted) = (fleet.acts_on(), fleet.versions().wanted());
+        let to_come = wanted.filter(|(id, _)| *id > acts_on);
+        let hold = (acts_on, to_come.map(|(id, _)| id).unwrap_or_default());
+        if self.hold.replace(Some(hold)) == Some(hold) {
+            return;
+        }
+        let content = fleet.versions().held(acts_on).map(|version| version.content.as_str());
+        let mut all = (self.limits_of)(content);
+        if let Some((_, version)) = to_come {
+            all = terms::lower(&all, &(self.limits_of)(Some(&version.content)));
+        }
+        limits.borrow_mut().set(now, &all);
+    }
+
     fn flush(&self) {
+        if let Some(limits) = &self.limits {
+            let events = limits.borrow_mut().events();
+            events.iter().for_each(|event| tracing::info!(target: "limits", "limits: {event}"));
+        }
         let (events, send) = {
             let mut fleet = self.fleet.borrow_mut();
             (fleet.events(), fleet.send())
@@ -306,6 +358,12 @@
         Ok(())
     }
 
+    /// Shares of the limits by server.
+    pub fn limits(&self) -> Value {
+        let rows = self.limits.as_ref().map(|limits| limits.borrow().rows(self.now())).unwrap_or_default();
+        json!({ "limits": rows })
+    }
+
     /// For tests: steps the wall clock that this server goes by, where its site file lets it.
     pub fn step_clock(&self, offset_ms: i64) -> Result<(), String> {
         if !self.steps {
@@ -315,3 +373,16 @@
         Ok(())
     }
 }
+
+impl Limiter for Carrier {
+    fn take(&self, which: Which, covers_ms: u64) -> Result<Pass, u64> {
+        let Some(limits) = &self.limits else { return Ok(Pass::default()) };
+        limits.borrow_mut().admit(self.now(), which, covers_ms)
+    }
+
+    fn give_back(&self, pass: Pass) {
+        if let Some(limits) = &self.limits {
+            limits.borrow_mut().done(pass);
+        }
+    }
+}
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -96,7 +96,15 @@
     let carrier = site
         .fleet
         .as_ref()
-        .map(|terms| Carrier::bind(terms, &config.name, config.seed, folder))
+        .map(|terms| {
+            let (site, names) = (site.clone(), config.names.clone());
+            let limits_of = move |content: Option<&str>| {
+                let site =
+                    content.map_or_else(|| Ok(site.clone()), |content| site.with_version(content, &names));
+                site.and_then(|site| site.limits(&names)).unwrap_or_default()
+            };
+            Carrier::bind(terms, &config.name, config.seed, folder, Box::new(limits_of))
+        })
         .transpose()?;
     let carrier = carrier.map(Rc::new);
     let leaving = Cell::new(false);
--- a/crates/coralstep-server/src/life/reload.rs
+++ b/crates/coralstep-server/src/life/reload.rs
@@ -109,9 +109,10 @@
         ("operator", new.operator != old.operator),
         ("log", new.log != old.log),
         ("fleet", new.fleet != old.fleet),
+        ("limits", new.limits != old.limits),
     ];
     for (key, _) in sections.iter().filter(|(_, differs)| *differs) {
-        note!("reload: {key}: changes only with a restart");
+        note!("reload: {key}: changes only with a restart, or where it may, a version");
     }
     if movable.versioned.get() {
         // Guards against a server that says it acts on a version and has the file's settings.
--- a/crates/coralstep-server/src/operators/ops.rs
+++ b/crates/coralstep-server/src/operators/ops.rs
@@ -62,6 +62,8 @@
     FleetLetIn {
         server: String,
     },
+    /// Shares of the limits, by server.
+    FleetLimits,
     /// For tests: the wall clock that the server goes by is so far off from now on.
     FleetClock {
         offset_ms: i64,
@@ -221,6 +223,7 @@
         FleetShutOut { server } => {
             done(carrier.by_hand(server, true).map(|()| json!({ "shut_out": server })))
         }
+        FleetLimits => carrier.limits(),
         FleetClock { offset_ms } => {
             done(carrier.step_clock(*offset_ms).map(|()| json!({ "offset_ms": offset_ms })))
         }
--- a/crates/coralstep-server/src/runs/course.rs
+++ b/crates/coralstep-server/src/runs/course.rs
@@ -79,6 +79,11 @@
         };
         let (id, method) = (claim.id(), offer.method);
         let Some(run) = self.runs.clone().open(id) else { return reply(Reply::Aborted) };
+        // Before the decisions: what the fleet's limits have no room for is not theirs to weigh.
+        let mut taken = match self.facade.share(&offer) {
+            Ok(taken) => Some(taken),
+            Err(after_ms) => return reply(Reply::PushedBack { after_ms, last: false }),
+        };
         let (tenant, token) = (offer.tenant, offer.token.clone());
         let deadline = self.facade.deadline(method);
         let patience = offer.patience.map_or(deadline, |patience| clock::duration(patience).min(deadline));
@@ -101,6 +106,8 @@
             if let Some(reply) = reply.take() {
                 reply(what);
                 run.answered();
+                // Not in hand any more.
+                taken = None;
             }
         };
         let mut call: Option<Call> = None;
--- a/crates/coralstep-terms/src/lib.rs
+++ b/crates/coralstep-terms/src/lib.rs
@@ -22,6 +22,9 @@
     /// This server.
     pub instance: String,
     pub methods: Vec<String>,
+    /// Of each method: whether it calls, and its deadline in milliseconds.
+    pub calls: Vec<bool>,
+    pub deadlines_ms: Vec<u64>,
     pub tenants: Vec<String>,
     pub gauges: Vec<String>,
 }
@@ -180,7 +183,10 @@
     };
     for index in 0..conf.ns("classes.count")? as usize {
         names.methods.push(conf.text(&format!("classes.{index}.name")).to_owned());
-        terms.methods.push(conf.method(index, below != Below::Nothing)?);
+        let method = conf.method(index, below != Below::Nothing)?;
+        names.calls.push(method.calls);
+        names.deadlines_ms.push(method.deadline.0.div_ceil(10));
+        terms.methods.push(method);
     }
     for index in 0..conf.ns("realms.count")? as usize {
         names.tenants.push(conf.text(&format!("realms.{index}.name")).to_owned());
--- a/crates/coralstep-terms/src/site.rs
+++ b/crates/coralstep-terms/src/site.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use coralstep_levels::LevelTerms;
+use coralstep_limits::terms::look_up;
+use coralstep_limits::{Limit, LimitTerms};
 use coralstep_route::Routes;
 use ipnet::IpNet;
 use schemars::JsonSchema;
@@ -47,6 +49,9 @@
     /// How this server hears the others of its fleet; without it nothing is opened.
     #[serde(default)]
     pub fleet: Option<FleetTerms>,
+    /// Limits that hold for the whole fleet; without a `fleet` there are none.
+    #[serde(default)]
+    pub limits: Option<Vec<LimitTerms>>,
     #[serde(default)]
     pub log: LogTerms,
 }
@@ -93,6 +98,12 @@
     /// What it does where it hears nobody.
     #[serde(default)]
     pub silent: Silent,
+    /// Names of the servers that may give shares of the limits, one at a time: one, three or five, the same list on all servers.
+    #[serde(default)]
+    pub keepers: Vec<String>,
+    /// How long a share of RPCs in hand is good for, in milliseconds: longer than any deadline that a limit is for. The same on all servers.
+    #[serde(default = "lease")]
+    pub lease_ms: u32,
     /// For tests alone: the wall clock may be stepped by the operators' door.
     #[serde(default)]
     pub clock_steps: bool,
@@ -110,10 +121,21 @@
     ["127.0.0.0/8", "::1/128"].iter().filter_map(|net| net.parse().ok()).collect()
 }
 
+fn lease() -> u32 {
+    10_000
+}
+
 fn thirty() -> u32 {
     30
 }
 
+/// Of a lease, the part that two rounds of asking may take up.
+fn fleet_round(lease_ms: u32) -> u64 {
+    u64::from(lease_ms / 8).min(2_000)
+}
+
+/// Servers that may give shares.
+const KEEPERS_MOST: usize = 9;
 /// Peers and networks at the most.
 const PEERS_MOST: usize = 256;
 
@@ -124,6 +146,15 @@
         within("fleet.networks", self.networks.len(), 1, PEERS_MOST)?;
         within("fleet.behind_s", self.behind_s, 1, 3_600)?;
         within("fleet.silent_s", self.silent_s, 1, 3_600)?;
+        within("fleet.lease_ms", self.lease_ms, 2_000, 600_000)?;
+        within("fleet.keepers", self.keepers.len(), 0, KEEPERS_MOST)?;
+        if let Some(name) = self.keepers.iter().find(|name| name.is_empty() || name.len() > 64) {
+            return Err(format!("fleet.keepers: {name:?} is no name"));
+        }
+        let different: HashSet<&String> = self.keepers.iter().collect();
+        if different.len() < self.keepers.len() {
+            return Err("fleet.keepers: a name comes twice".to_owned());
+        }
         let at = self.advertise.unwrap_or(self.listen);
         if at.ip().is_unspecified() {
             return Err(format!("fleet.advertise: nobody reaches {at}"));
@@ -396,6 +427,7 @@
             within("state.every_s", state.every_s, 1, 3_600)?;
         }
         self.fleet.as_ref().map_or(Ok(()), FleetTerms::check)?;
+        self.limits(names)?;
         self.applications.as_ref().map_or(Ok(()), |applications| applications.check(names))
     }
 
@@ -417,6 +449,7 @@
         }
         let mut site = self.clone();
         site.levels = version.levels.or(site.levels);
+        site.limits = version.limits.or(site.limits);
         site.applications = version.applications.or(site.applications);
         if let (Some(mut scgi), Some(old)) = (version.scgi, &self.scgi) {
             // Where it listens stays; routes and all else are the version's.
@@ -427,6 +460,47 @@
         Ok(site)
     }
 
+    /// The limits, their names looked up.
+    pub fn limits(&self, names: &Names) -> Result<Vec<Limit>, String> {
+        let Some(terms) = self.limits.as_ref().filter(|terms| !terms.is_empty()) else {
+            return Ok(Vec::new());
+        };
+        let fleet = self.fleet.as_ref().ok_or("limits: without a fleet there is nobody to share them")?;
+        if fleet.keepers.is_empty() {
+            return Err("limits: fleet.keepers names nobody who could give shares".to_owned());
+        }
+        let limits = look_up(
+            terms,
+            &coralstep_limits::terms::Names {
+                methods: &names.methods,
+                calls: &names.calls,
+                tenants: &names.tenants,
+                dependencies: &["store".to_owned()],
+            },
+        )?;
+        // A share of what is in hand is used only for RPCs that are over before its lease is.
+        for (at, limit) in limits.iter().enumerate() {
+            if matches!(limit.kind, coralstep_limits::Kind::Rate { .. }) {
+                continue;
+            }
+            let longest = names
+                .deadlines_ms
+                .iter()
+                .enumerate()
+                .filter(|(method, _)| limit.method.is_none_or(|of| of == *method))
+                .map(|(_, ms)| *ms)
+                .max();
+            let lease =
+                coralstep_limits::bounds::shrunk(u64::from(fleet.lease_ms)) - fleet_round(fleet.lease_ms);
+            if let Some(longest) = longest.filter(|longest| *longest > lease) {
+                return Err(format!(
+                    "limits[{at}].in_hand: unreachable, a deadline of {longest} ms is longer than fleet.lease_ms less two rounds, {lease}"
+                ));
+            }
+        }
+        Ok(limits)
+    }
+
     /// The schema of the file, as JSON text.
     pub fn schema() -> String {
         let schema = schemars::schema_for!(SiteTerms);
