Verdicts: servers tell each other of the store, and breakers need less evidence

Need: 300 servers find out one by one that the store is down, and each one's cooldown has doubled by itself when it heals. Change: coralstep-verdicts (what is said, what may follow from it, a rider; no I/O). The module's breaker takes three things and opens on its own calls alone: how many of its last outcomes it looks at (20, 2 at the least), how long a cooldown is where others are open, and that the present one ends sooner. Trials come by chance at 1.2 a second of the whole fleet; news that a breaker closed ends cooldowns in steps; most others failing lowers the need. fleet.verdicts switches each part; off without it. `coralstep fleet verdicts`. Without advice the breaker is as before: looked at 20 of its last 20 outcomes. Seen on the way: asking how much of the last 20 outcomes failed said nothing at one call a second, for they were 20 s old; what is told to others is that of the last two seconds, and the breaker looks at its last outcomes alone where it needs fewer.

--- a/crates/coralstep-lab/src/emulate/store.rs
+++ b/crates/coralstep-lab/src/emulate/store.rs
@@ -1,10 +1,11 @@
 //! A stand-in for the dependency that all servers share: calls take the world's time, more past its capacity; it may slow,
 //! hang, or refuse.
+use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -35,8 +36,14 @@
     in_hand: AtomicU64,
     stop: AtomicBool,
     chance: Mutex<SmallRng>,
+    /// When each call came, since the start; the last ones.
+    asked: Mutex<VecDeque<Duration>>,
+    began: Instant,
 }
 
+/// Calls whose times are kept.
+const ASKED: usize = 500_000;
+
 pub struct Store {
     pub address: SocketAddr,
     shared: Arc<Shared>,
@@ -60,6 +67,8 @@
             in_hand: AtomicU64::new(0),
             stop: AtomicBool::new(false),
             chance: Mutex::new(SmallRng::seed_from_u64(seed)),
+            asked: Mutex::default(),
+            began: Instant::now(),
         });
         let all = shared.clone();
         std::thread::spawn(move || {
@@ -74,6 +83,17 @@
         Ok(Store { address, shared })
     }
 
+    /// Time since the start, as [`Store::asked`] counts.
+    pub fn clock(&self) -> Duration {
+        self.shared.began.elapsed()
+    }
+
+    /// When each call came that did so from `since` on.
+    pub fn asked(&self, since: Duration) -> Vec<Duration> {
+        let asked = super::lock(&self.shared.asked);
+        asked.iter().copied().filter(|at| *at >= since).collect()
+    }
+
     pub fn now(&self, change: impl FnOnce(&mut Plight)) {
         change(&mut self.shared.plight.lock().unwrap_or_else(|poisoned| poisoned.into_inner()));
     }
@@ -94,6 +114,13 @@
         }
     };
     shared.in_hand.fetch_add(1, Ordering::SeqCst);
+    {
+        let mut asked = super::lock(&shared.asked);
+        if asked.len() >= ASKED {
+            asked.pop_front();
+        }
+        asked.push_back(shared.began.elapsed());
+    }
     let said = says(&line, shared);
     shared.in_hand.fetch_sub(1, Ordering::SeqCst);
     stream.write_all(said.as_bytes())
--- a/crates/coralstep-server/src/cli/fleet.rs
+++ b/crates/coralstep-server/src/cli/fleet.rs
@@ -14,7 +14,7 @@
        coralstep fleet publish FILE [--must] [--waves 0.05,0.3,1 [--pause SECONDS]] --at WHERE [--json]
        coralstep fleet versions --at WHERE [--json]
        coralstep fleet audit [--version V] [--server S] [--time MS] --at WHERE [--json]
-       coralstep fleet limits --at WHERE [--json]
+       coralstep fleet limits|verdicts --at WHERE [--json]
        coralstep fleet shut-out|let-in SERVER --at WHERE [--json]
 
 WHERE is the site file's operator.listen: ADDRESS:PORT or unix:PATH. FILE is JSON with sections of the site file: levels, scgi, applications, limits.
@@ -71,6 +71,7 @@
         (Some("versions"), None) => Question::FleetVersions,
         (Some("audit"), None) => Question::FleetAudit { version, server, at_ms: time },
         (Some("limits"), None) => Question::FleetLimits,
+        (Some("verdicts"), None) => Question::FleetVerdicts,
         (Some("shut-out"), Some(server)) => Question::FleetShutOut { server },
         (Some("let-in"), Some(server)) => Question::FleetLetIn { server },
         (Some("publish"), Some(file)) => {
@@ -106,7 +107,8 @@
     if let Some(why) = said["error"].as_str() {
         return Err(why.to_owned());
     }
-    let rows = ["members", "versions", "audit", "limits"].iter().find_map(|key| said[key].as_array());
+    let rows =
+        ["members", "versions", "audit", "limits", "verdicts"].iter().find_map(|key| said[key].as_array());
     match (rows, json) {
         (Some(rows), true) => rows.iter().for_each(|row| println!("{row}")),
         (Some(rows), false) => print!("{}", table(rows)),
--- a/crates/coralstep-server/src/decisions/facade.rs
+++ b/crates/coralstep-server/src/decisions/facade.rs
@@ -6,7 +6,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coralstep::{
     Arrival, Gauges, Learned, Level, Outcome, Outlet, Prior, RpcId, Server, Span, Terms, Time, Turn,
@@ -21,6 +21,10 @@
 use crate::decisions::levels::Kept;
 use crate::note;
 
+/// Calls that others are told of: those of so long, the last ones.
+const RECENT: Duration = Duration::from_secs(2);
+const CALLED: usize = 64;
+
 /// Says for how long nothing is to be admitted.
 pub type Gate = Rc<dyn Fn() -> Option<Span>>;
 
@@ -320,6 +324,8 @@
     ran: Cell<u64>,
     /// How long this server admits nothing, where the fleet says so: asked before each RPC.
     gate: RefCell<Option<Gate>>,
+    /// When the last calls ended, and whether they failed.
+    called: RefCell<VecDeque<(Instant, bool)>>,
     limiter: RefCell<Option<Rc<dyn Limiter>>>,
     shut: Cell<bool>,
 }
@@ -359,6 +365,7 @@
             picked: Cell::new(0),
             ran: Cell::new(0),
             gate: RefCell::default(),
+            called: RefCell::default(),
             limiter: RefCell::default(),
             shut: Cell::new(false),
         }
@@ -521,6 +528,13 @@
                     CallEnd::Broken => Outcome::Broken,
                     CallEnd::Moot => Outcome::Moot,
                 };
+                {
+                    let mut called = self.called.borrow_mut();
+                    if called.len() >= CALLED {
+                        called.pop_front();
+                    }
+                    called.push_back((Instant::now(), end != CallEnd::Ok));
+                }
                 self.happen(|server, now, desk| server.called(now, id, outcome, clock::span(took), desk));
             }
             News::Gone => self.happen(|server, now, desk| server.gone(now, id, desk)),
@@ -664,6 +678,24 @@
         self.happen(|server, now, desk| server.level(now, level, desk));
     }
 
+    /// The breaker's state, and of the calls of the last seconds how many failed and how many there were; none before the start.
+    pub fn breaker(&self) -> Option<(&'static str, u32, u32)> {
+        let state = self.inner.borrow().server.as_ref()?.breaker().name();
+        let mut called = self.called.borrow_mut();
+        while called.front().is_some_and(|(at, _)| at.elapsed() > RECENT) {
+            called.pop_front();
+        }
+        let failures = called.iter().filter(|(_, failed)| *failed).count();
+        Some((state, failures as u32, called.len() as u32))
+    }
+
+    /// What other servers saw of the dependency, as far as a breaker may go by it.
+    pub fn hear(&self, need: u32, cooldown: Option<Duration>, sooner: Option<Duration>) {
+        self.happen(|server, now, _| {
+            server.hear(now, need, cooldown.map(clock::span), sooner.map(clock::span))
+        });
+    }
+
     /// Another version of the settings holds for what is read from now on.
     pub fn versioned(&self) {
         self.happen(|server, _, _| server.versioned());
--- a/crates/coralstep-server/src/fleet/carrier.rs
+++ b/crates/coralstep-server/src/fleet/carrier.rs
@@ -17,6 +17,7 @@
 use coralstep_limits::{Limit, Limits, terms};
 use coralstep_state::record::Record;
 use coralstep_terms::site::{FleetTerms, Silent};
+use coralstep_verdicts::{Own, State as BreakerState, Verdicts};
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
 use ipnet::IpNet;
@@ -34,6 +35,9 @@
 /// Datagrams read in a row before others have their turn.
 const AT_ONCE: usize = 32;
 
+/// The dependency that the decisions know, by its name among the fleet.
+const STORE: &str = "store";
+
 /// Takes up the content of a version, or says why not.
 pub type Take = Box<dyn Fn(&str) -> Result<(), String>>;
 
@@ -56,6 +60,8 @@
     /// Shares of the limits, where somebody may give them; whose limits hold now: acted on, and to be acted on.
     limits: Option<Rc<RefCell<Limits>>>,
     limits_of: LimitsOf,
+    /// What is said of dependencies, where that is gone by.
+    verdicts: Option<Rc<RefCell<Verdicts>>>,
     hold: Cell<Option<(Id, Id)>>,
     /// For tests: whether the wall clock may be stepped, and by how much it is.
     steps: bool,
@@ -137,6 +143,11 @@
             fleet.ride((Seat::Limits, limits.clone()));
             limits
         });
+        let verdicts = terms.verdicts.map(|parts| {
+            let verdicts = Rc::new(RefCell::new(Verdicts::new(fleet.own(), parts, seed)));
+            fleet.ride((Seat::Verdicts, verdicts.clone()));
+            verdicts
+        });
         let recorder = folder.and_then(Recorder::start).map(|(recorder, found)| {
             if !(found.acts_on.is_empty() && found.entries.is_empty())
                 && let Some(id) = fleet.restore(&found.acts_on, &found.entries)
@@ -150,6 +161,7 @@
             changed: Cell::new(false),
             limits,
             limits_of,
+            verdicts,
             hold: Cell::new(None),
             steps: terms.clock_steps,
             offset_ms: Cell::new(0),
@@ -251,6 +263,7 @@
             }
         }
         self.set_limits(now);
+        self.see(now, facade);
         if self.changed.get()
             && let Some(recorder) = &self.recorder
         {
@@ -260,6 +273,18 @@
         facade.obey();
     }
 
+    /// What this server's breaker sees is said; what the others say of it is passed to the decisions.
+    fn see(&self, now: Ms, facade: &Facade) {
+        let (Some(verdicts), Some((state, failures, calls))) = (&self.verdicts, facade.breaker()) else {
+            return;
+        };
+        let all = [BreakerState::Closed, BreakerState::Open, BreakerState::HalfOpen];
+        let state = all.into_iter().find(|one| one.name() == state).unwrap_or_default();
+        let advice = verdicts.borrow_mut().see(now, STORE, Own { state, failures, calls });
+        let ms = |ms: Option<Ms>| ms.map(Duration::from_millis);
+        facade.hear(advice.need, ms(advice.apart), ms(advice.sooner));
+    }
+
     /// Of the version that is acted on and the one that is to be acted on the lower limits hold: during a wave both are in use.
     fn set_limits(&self, now: Ms) {
         let Some(limits) = &self.limits else { return };
@@ -283,6 +308,10 @@
             let events = limits.borrow_mut().events();
             events.iter().for_each(|event| tracing::info!(target: "limits", "limits: {event}"));
         }
+        if let Some(verdicts) = &self.verdicts {
+            let events = verdicts.borrow_mut().events();
+            events.iter().for_each(|event| tracing::info!(target: "verdicts", "verdicts: {event}"));
+        }
         let (events, send) = {
             let mut fleet = self.fleet.borrow_mut();
             (fleet.events(), fleet.send())
@@ -364,6 +393,15 @@
         json!({ "limits": rows })
     }
 
+    /// What each server says of each dependency, and whose trouble it is as far as this one can tell.
+    pub fn verdicts(&self) -> Value {
+        let Some(verdicts) = &self.verdicts else { return json!({ "verdicts": [] }) };
+        let verdicts = verdicts.borrow();
+        let whose: std::collections::BTreeMap<&str, String> =
+            verdicts.whose().map(|(name, whose)| (name, format!("{whose:?}"))).collect();
+        json!({ "verdicts": verdicts.rows(self.now()), "whose": whose })
+    }
+
     /// For tests: steps the wall clock that this server goes by, where its site file lets it.
     pub fn step_clock(&self, offset_ms: i64) -> Result<(), String> {
         if !self.steps {
--- a/crates/coralstep-server/src/operators/ops.rs
+++ b/crates/coralstep-server/src/operators/ops.rs
@@ -64,6 +64,8 @@
     },
     /// Shares of the limits, by server.
     FleetLimits,
+    /// What each server says of its dependencies.
+    FleetVerdicts,
     /// For tests: the wall clock that the server goes by is so far off from now on.
     FleetClock {
         offset_ms: i64,
@@ -224,6 +226,7 @@
             done(carrier.by_hand(server, true).map(|()| json!({ "shut_out": server })))
         }
         FleetLimits => carrier.limits(),
+        FleetVerdicts => carrier.verdicts(),
         FleetClock { offset_ms } => {
             done(carrier.step_clock(*offset_ms).map(|()| json!({ "offset_ms": offset_ms })))
         }
--- a/crates/coralstep-terms/src/site.rs
+++ b/crates/coralstep-terms/src/site.rs
@@ -10,6 +10,7 @@
 use coralstep_limits::terms::look_up;
 use coralstep_limits::{Limit, LimitTerms};
 use coralstep_route::Routes;
+use coralstep_verdicts::Parts;
 use ipnet::IpNet;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -104,6 +105,9 @@
     /// How long a share of RPCs in hand is good for, in milliseconds: longer than any deadline that a limit is for. The same on all servers.
     #[serde(default = "lease")]
     pub lease_ms: u32,
+    /// What servers tell each other of their dependencies is gone by; `{}` for all of it, without it nothing is told.
+    #[serde(default)]
+    pub verdicts: Option<Parts>,
     /// For tests alone: the wall clock may be stepped by the operators' door.
     #[serde(default)]
     pub clock_steps: bool,
--- /dev/null
+++ b/crates/coralstep-verdicts/src/weigh.rs
@@ -0,0 +1,329 @@
+//! What follows from what others say of one dependency: how much evidence of its own a server needs, when its next trial is, and whether its
+//! cooldown ends sooner. Each server counts once, however often it was heard; nobody's word alone opens or closes anything.
+use coralstep_fleet::Ms;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+use crate::said::State;
+
+/// Outcomes that a breaker looks at by itself, and the least that it needs whatever others say: the second failure may open it, the first
+/// never does.
+pub const WINDOW: u32 = 20;
+pub const NEED_LEAST: u32 = 2;
+/// Trials a second of the whole fleet, of a dependency that is open in several places.
+pub const TRIALS: f64 = 1.2;
+/// Between two trials of one server at the least.
+pub const APART_LEAST: Ms = 750;
+/// A cooldown where others are open, too: its end comes by chance long before. And the longest where nobody says anything any more: the
+/// source's.
+pub const APART: Ms = 600_000;
+pub const ALONE: Ms = 30_000;
+/// Cooldowns end in steps so far apart; in each as many are let try as serve already, times that.
+pub const STEP: Ms = 300;
+pub const GROW: f64 = 2.0;
+/// That a breaker has closed is news for so long.
+pub const NEWS: Ms = 4_000;
+/// A server after whose news the own trial failed is not believed for so long.
+pub const DOUBTED: Ms = 30_000;
+/// Others that must say something of their own calls before less evidence is needed, and the part of them that must say it fails.
+pub const OTHERS_LEAST: usize = 2;
+pub const FAILS: f64 = 0.5;
+
+/// Which parts hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Parts {
+    /// Trials come at one rate from the whole fleet.
+    pub trials: bool,
+    /// News that it serves again ends cooldowns in steps.
+    pub serves: bool,
+    /// News that it fails lets less evidence of one's own do.
+    pub fails: bool,
+}
+
+impl Default for Parts {
+    fn default() -> Parts {
+        Parts { trials: true, serves: true, fails: true }
+    }
+}
+
+/// What one other server says, with the ages of now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Other {
+    /// Whoever it is: the same figure for the same process.
+    pub who: u64,
+    pub state: State,
+    pub failures: u32,
+    pub calls: u32,
+    pub called: Ms,
+    pub healed: Option<Ms>,
+}
+
+impl Other {
+    /// Its last calls mostly failed, or its breaker is not closed.
+    pub fn fails(&self) -> bool {
+        self.state != State::Closed || (self.calls > 0 && self.failures * 2 >= self.calls)
+    }
+
+    /// It has something to say by calls of its own.
+    pub fn knows(&self) -> bool {
+        self.state != State::Closed || (self.calls > 0 && self.called <= crate::said::AGE_MOST)
+    }
+}
+
+/// What a breaker may go by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Advice {
+    /// Own outcomes before it may open: [`WINDOW`] where nobody says anything.
+    pub need: u32,
+    /// The next cooldown, where others are open, too.
+    pub apart: Option<Ms>,
+    /// The present cooldown ends by then, from now.
+    pub sooner: Option<Ms>,
+}
+
+impl Default for Advice {
+    fn default() -> Advice {
+        Advice { need: WINDOW, apart: None, sooner: None }
+    }
+}
+
+/// Whose trouble it is, as far as others say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Whose {
+    /// Nobody's.
+    Nobodys,
+    /// Most of those who call it say that it fails.
+    Dependencys,
+    /// Most others are served: it is this server's way there.
+    OwnWays,
+    /// This server's calls fail, and nobody else says anything.
+    Unknown,
+}
+
+/// One dependency, as this server goes about it.
+#[derive(Clone, Debug)]
+pub struct Weigh {
+    chance: SmallRng,
+    next_step: Ms,
+    /// Those whose news led to the trial that is awaited.
+    believed: Vec<u64>,
+    doubted: Vec<(u64, Ms)>,
+    was: State,
+    /// Since when it is open, whether by a cooldown for the others' sake, and when it was last looked at.
+    since: Ms,
+    shared: bool,
+    apart: bool,
+    looked: Ms,
+}
+
+impl Weigh {
+    pub fn new(seed: u64) -> Weigh {
+        Weigh {
+            chance: SmallRng::seed_from_u64(seed),
+            next_step: 0,
+            believed: Vec::new(),
+            doubted: Vec::new(),
+            was: State::Closed,
+            since: 0,
+            shared: false,
+            apart: false,
+            looked: 0,
+        }
+    }
+
+    /// Whose trouble it is.
+    pub fn whose(own_fails: bool, others: &[Other]) -> Whose {
+        let known = others.iter().filter(|other| other.knows()).count();
+        let fails = others.iter().filter(|other| other.knows() && other.fails()).count();
+        match () {
+            () if known == 0 && own_fails => Whose::Unknown,
+            () if fails * 2 >= known && fails > 0 => Whose::Dependencys,
+            () if own_fails => Whose::OwnWays,
+            () => Whose::Nobodys,
+        }
+    }
+
+    /// `others`: those whose word counts now, each once.
+    pub fn advise(&mut self, now: Ms, parts: Parts, own: State, others: &[Other]) -> Advice {
+        let span = now.saturating_sub(self.looked).min(1_000);
+        self.looked = now;
+        self.learn(now, own);
+        let mut advice = Advice::default();
+        let known = others.iter().filter(|other| other.knows()).count();
+        let fails = others.iter().filter(|other| other.knows() && other.fails()).count();
+        let part = fails as f64 / known.max(1) as f64;
+        if parts.fails && known >= OTHERS_LEAST && part >= FAILS {
+            advice.need = ((f64::from(WINDOW) * (1.0 - part)).round() as u32).clamp(NEED_LEAST, WINDOW);
+        }
+        let open = others.iter().filter(|other| other.state != State::Closed).count();
+        self.apart = parts.trials && open > 0;
+        if self.apart {
+            advice.apart = Some(APART);
+        }
+        if own == State::Open && now >= self.since + APART_LEAST {
+            if parts.trials && open > 0 {
+                // Memoryless, by how many are open now: whoever dies with its turn takes none from the others, and no two need agree.
+                let turn = (TRIALS * span as f64 / 1000.0 / (open + 1) as f64).min(1.0);
+                if self.chance.random_bool(turn) {
+                    advice.sooner = Some(0);
+                }
+            } else if self.shared {
+                // Guards against a cooldown that was made long for the others' sake, and nobody is left to end it.
+                let soon = if known == 0 { ALONE } else { self.chance.random_range(0..1_000) };
+                advice.sooner = Some(soon);
+                self.shared = false;
+            }
+        }
+        if parts.serves && own == State::Open && now >= self.next_step {
+            self.next_step = now + STEP / 2 + self.chance.random_range(0..STEP);
+            let news: Vec<u64> = others
+                .iter()
+                .filter(|other| !other.fails() && other.healed.is_some_and(|healed| healed <= NEWS))
+                .filter(|other| !self.doubted.iter().any(|(who, _)| *who == other.who))
+                .map(|other| other.who)
+                .collect();
+            let may = (GROW * news.len() as f64 / (open + 1) as f64).min(1.0);
+            if !news.is_empty() && self.chance.random_bool(may) {
+                advice.sooner = Some(self.chance.random_range(0..STEP));
+                self.believed = news;
+            }
+        }
+        advice
+    }
+
+    /// Whether the news was true is seen by one's own trial.
+    fn learn(&mut self, now: Ms, own: State) {
+        self.doubted.retain(|(_, until)| now < *until);
+        let before = std::mem::replace(&mut self.was, own);
+        if own == State::Open && before != State::Open {
+            (self.since, self.shared) = (now, self.apart);
+        }
+        match own {
+            // A trial failed after news: guards against a server that says 'it serves' whatever it sees.
+            State::Open if before == State::HalfOpen => {
+                let believed = std::mem::take(&mut self.believed);
+                // Of several some may have told the truth of a moment: each of few is doubted, all of many are not.
+                if believed.len() <= OTHERS_LEAST {
+                    self.doubted.extend(believed.into_iter().map(|who| (who, now + DOUBTED)));
+                }
+            }
+            State::Closed => self.believed.clear(),
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn other(who: u64, state: State, failures: u32, calls: u32) -> Other {
+        Other { who, state, failures, calls, called: 100, healed: None }
+    }
+
+    fn all(count: u64, state: State, failures: u32, calls: u32) -> Vec<Other> {
+        (0..count).map(|who| other(who, state, failures, calls)).collect()
+    }
+
+    #[test]
+    fn less_evidence_does_where_most_say_that_it_fails_and_one_that_lies_moves_nothing() {
+        let mut weigh = Weigh::new(1);
+        let mut need = |others: &[Other]| weigh.advise(0, Parts::default(), State::Closed, others).need;
+        assert_eq!(need(&[]), WINDOW);
+        assert_eq!(need(&all(1, State::Open, 1, 1)), WINDOW, "one alone says nothing");
+        assert_eq!(need(&all(10, State::Closed, 0, 5)), WINDOW);
+        assert_eq!(need(&all(10, State::Closed, 2, 2)), NEED_LEAST);
+        let mut mixed = all(10, State::Closed, 0, 5);
+        mixed[0] = other(0, State::Open, 20, 20);
+        assert_eq!(need(&mixed), WINDOW, "a liar among ten");
+        mixed[1..6].iter_mut().for_each(|other| other.failures = 5);
+        assert_eq!(need(&mixed), 8, "six of ten");
+        let mut old = all(10, State::Closed, 2, 2);
+        old.iter_mut().for_each(|other| other.called = crate::said::AGE_MOST + 1);
+        assert_eq!(need(&old), WINDOW, "what they saw is too old");
+        let off = Parts { fails: false, ..Parts::default() };
+        assert_eq!(Weigh::new(1).advise(0, off, State::Closed, &all(9, State::Open, 2, 2)).need, WINDOW);
+    }
+
+    #[test]
+    fn trials_come_at_one_rate_however_many_are_open_and_no_cooldown_outlives_its_reason() {
+        for (open, lasts) in [(2u64, 100_000u64), (10, 100_000), (300, 20_000)] {
+            let others = all(open - 1, State::Open, 1, 1);
+            let mut fleet: Vec<Weigh> = (0..open).map(Weigh::new).collect();
+            let mut trials = 0;
+            for now in (0..lasts).step_by(50) {
+                for weigh in &mut fleet {
+                    let advice = weigh.advise(now, Parts::default(), State::Open, &others);
+                    assert_eq!(advice.apart, Some(APART));
+                    trials += u32::from(advice.sooner.is_some());
+                }
+            }
+            let rate = f64::from(trials) * 1000.0 / lasts as f64;
+            assert!(rate < TRIALS * 1.4 && rate > TRIALS * 0.6, "{open}: {rate} a second");
+        }
+        let mut alone = Weigh::new(1);
+        assert_eq!(
+            alone.advise(0, Parts::default(), State::Open, &all(5, State::Closed, 0, 5)),
+            Advice::default()
+        );
+        // It opened for the others' sake; then they are closed, or not heard of any more.
+        for (left, most) in [(all(5, State::Closed, 0, 5), 1_000), (Vec::new(), ALONE + 1)] {
+            let mut weigh = Weigh::new(1);
+            weigh.advise(0, Parts::default(), State::Closed, &all(5, State::Open, 1, 1));
+            weigh.advise(50, Parts::default(), State::Open, &left);
+            let sooner = (100..2_000)
+                .step_by(50)
+                .find_map(|now| weigh.advise(now, Parts::default(), State::Open, &left).sooner);
+            assert!(sooner.unwrap() < most, "{sooner:?}");
+        }
+    }
+
+    #[test]
+    fn news_that_it_serves_ends_a_few_cooldowns_at_a_time_and_a_liar_is_found_out() {
+        let healed = |count: u64, open: u64| {
+            let mut others = all(open, State::Open, 1, 1);
+            others.extend(
+                (open..open + count)
+                    .map(|who| Other { healed: Some(500), ..other(who, State::Closed, 0, 1) }),
+            );
+            others
+        };
+        // Of sixty servers, how many try in one step.
+        let news = Parts { trials: false, ..Parts::default() };
+        let tries = |others: &[Other]| {
+            let step =
+                |seed: u64| Weigh::new(seed).advise(1_000, Parts::default(), State::Open, others).sooner;
+            (0..60).filter_map(step).inspect(|sooner| assert!(*sooner < STEP)).count()
+        };
+        let (one, ten, most) = (tries(&healed(1, 58)), tries(&healed(10, 49)), tries(&healed(40, 19)));
+        assert!(one <= 6 && ten > one && ten <= 40 && most == 60, "{one}, {ten}, {most}");
+        assert_eq!(tries(&all(58, State::Open, 1, 1)), 0);
+        // Who never failed is no news: it says nothing of this server's way.
+        assert_eq!(tries(&all(58, State::Closed, 0, 20)), 0);
+        // The own trial fails: for a while this server's word leads to none.
+        let (mut weigh, others) = (Weigh::new(3), healed(1, 0));
+        let mut now = 1_000;
+        let mut trials = 0;
+        while now < 21_000 {
+            let sooner = weigh.advise(now, news, State::Open, &others).sooner;
+            if sooner.is_some() {
+                trials += 1;
+                weigh.advise(now + 50, news, State::HalfOpen, &others);
+                weigh.advise(now + 100, news, State::Open, &others);
+            }
+            now += 200;
+        }
+        assert_eq!(trials, 1);
+    }
+
+    #[test]
+    fn a_dependency_that_fails_and_a_way_that_does_are_told_apart() {
+        assert_eq!(Weigh::whose(true, &all(9, State::Closed, 0, 5)), Whose::OwnWays);
+        assert_eq!(Weigh::whose(true, &all(9, State::Open, 1, 1)), Whose::Dependencys);
+        assert_eq!(Weigh::whose(true, &[]), Whose::Unknown);
+        assert_eq!(Weigh::whose(false, &all(9, State::Closed, 0, 5)), Whose::Nobodys);
+    }
+}
--- a/crates/coralstep/src/breaker.rs
+++ b/crates/coralstep/src/breaker.rs
@@ -1,25 +1,22 @@
-//! The breaker of the source, one for each dependency: counts failures of the server's own calls, stops
-//! calling for a cooldown, then lets one trial decide.
+//! The source's breaker, one a dependency: counts failures of own calls, cools down, lets one trial decide.
 use nanorand::{Rng, WyRand};
 
-use crate::constants::{COOLDOWN, COOLDOWN_MOST, TRIP, WINDOW};
+use crate::constants::{COOLDOWN, COOLDOWN_MOST, HEARSAY_LEAST, TRIP, WINDOW};
 use crate::door::{RpcId, Span, State, Step, Time, Turn};
 
 #[derive(Clone, Debug)]
 pub struct Breaker {
-    state: State,
+    pub(crate) state: State,
     /// The last outcomes, a bit each, 1 for a failure.
-    window: u32,
-    seen: u32,
-    cooldown: Span,
-    since: Time,
+    pub(crate) window: u32,
+    pub(crate) seen: u32,
+    pub(crate) cooldown: Span,
+    pub(crate) since: Time,
+    /// Outcomes that may open it, and how long the next cooldown is, where others say so.
+    pub(crate) heard: (u32, Option<Span>),
 }
 
 impl Breaker {
-    pub fn new(now: Time) -> Breaker {
-        Breaker { state: State::Closed, window: 0, seen: 0, cooldown: COOLDOWN, since: now }
-    }
-
     fn turn(&mut self, now: Time, to: State) -> Turn {
         let turn = Turn { from: self.state.name(), to: to.name(), rate: self.rate() };
         (self.state, self.since) = (to, now);
@@ -30,15 +27,8 @@
     }
 
     fn rate(&self) -> f64 {
-        f64::from(self.window.count_ones()) / f64::from(self.seen.max(1))
-    }
-
-    pub fn name(&self) -> &'static str {
-        self.state.name()
-    }
-
-    pub fn is_closed(&self) -> bool {
-        self.state == State::Closed
+        let last = self.window & ((1 << self.heard.0) - 1);
+        f64::from(last.count_ones()) / f64::from(self.seen.clamp(1, self.heard.0))
     }
 
     /// The end of the cooldown, while open.
@@ -112,12 +102,20 @@
         }
         self.window = (self.window << 1 | u32::from(failed)) & ((1 << WINDOW) - 1);
         self.seen = (self.seen + 1).min(WINDOW);
-        (self.seen == WINDOW && self.rate() >= TRIP).then(|| self.open(now, chance))
+        (self.seen >= self.heard.0 && self.rate() >= TRIP).then(|| self.open(now, chance))
+    }
+
+    /// What others saw: so much evidence does, so long a cooldown, its end by then. Own calls alone open it.
+    pub fn hear(&mut self, need: u32, cooldown: Option<Span>, by: Option<Time>) {
+        self.heard = (need.clamp(HEARSAY_LEAST, WINDOW), cooldown);
+        if let (State::Open { until }, Some(by)) = (self.state, by) {
+            self.state = State::Open { until: until.min(by) };
+        }
     }
 
     /// Cooldowns vary by a quarter, so that servers which opened together don't try together.
     fn open(&mut self, now: Time, chance: &mut WyRand) -> Turn {
         let part = 0.75 + 0.25 * f64::from(chance.generate::<u32>()) / f64::from(u32::MAX);
-        self.turn(now, State::Open { until: now + self.cooldown.share(part) })
+        self.turn(now, State::Open { until: now + self.heard.1.unwrap_or(self.cooldown.share(part)) })
     }
 }
--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -2,8 +2,7 @@
 //! `needs_call`, `called`, `gone`, `wind_down` and `timer`; the answers go at once to the `Outlet`.
 //! The interface, `Outlet` and all types passed in, is in `door.rs`; the shared records are in `site.rs`.
 //!
-//! An RPC passes Repeats, Guard, Hold, Cores and, at a call, Bulkhead and Breaker. Each stage passes it on,
-//! keeps it or ends it; outcomes run back from Breaker to Repeats.
+//! An RPC passes Repeats, Guard, Hold, Cores, at a call Bulkhead and Breaker; each passes, keeps or ends it.
 #[path = "learned.rs"]
 mod learned;
 pub use learned::Learned;
--- a/crates/coralstep/src/constants.rs
+++ b/crates/coralstep/src/constants.rs
@@ -10,6 +10,8 @@
 /// Outcomes that a breaker looks at, and the part of them that opens it (the source's 20 and 50%).
 pub const WINDOW: u32 = 20;
 pub const TRIP: f64 = 0.5;
+/// Outcomes of its own that a breaker needs whatever others say: one failure may be anything.
+pub const HEARSAY_LEAST: u32 = 2;
 /// A breaker's first cooldown; each failed trial doubles it up to the source's 30 s.
 pub const COOLDOWN: Span = Span::ms(1_000);
 pub const COOLDOWN_MOST: Span = Span::ms(30_000);
--- a/crates/coralstep/src/observe.rs
+++ b/crates/coralstep/src/observe.rs
@@ -1,5 +1,6 @@
 //! What the decisions tell of themselves, and another level taken up.
 use super::{Bulkhead, Hold, Server};
+use crate::breaker::Breaker;
 use crate::door::*;
 use crate::level::{Level, Signals};
 use crate::site::{Place, Site};
@@ -7,6 +8,16 @@
 /// So long after the last call ended nothing is known of its dependency's present slowness.
 const CALLS_TOLD: Span = Span::ms(5_000);
 
+impl Breaker {
+    pub fn name(&self) -> &'static str {
+        self.state.name()
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.state == State::Closed
+    }
+}
+
 impl Bulkhead {
     /// The usual time of a call, in ticks.
     pub(super) fn usual(&self, site: &Site) -> u64 {
@@ -35,6 +46,16 @@
         self.site.versioned();
     }
 
+    /// The breaker, to be told to others.
+    pub fn breaker(&self) -> &Breaker {
+        &self.breaker
+    }
+
+    /// What others saw of the dependency; the present cooldown ends within `sooner`, where it says so.
+    pub fn hear(&mut self, now: Time, need: u32, cooldown: Option<Span>, sooner: Option<Span>) {
+        self.breaker.hear(need, cooldown, sooner.map(|sooner| now + sooner));
+    }
+
     pub fn signals(&self) -> Signals {
         let site = &self.site;
         let flag = |is: bool| Some(f64::from(u8::from(is)));
--- a/crates/coralstep/src/start.rs
+++ b/crates/coralstep/src/start.rs
@@ -5,6 +5,20 @@
 use crate::door::*;
 use crate::site::{Hand, Site};
 
+impl Breaker {
+    /// Closed, and nothing seen or heard.
+    pub fn new(now: Time) -> Breaker {
+        Breaker {
+            state: State::Closed,
+            window: 0,
+            seen: 0,
+            cooldown: COOLDOWN,
+            since: now,
+            heard: (WINDOW, None),
+        }
+    }
+}
+
 impl Server {
     pub fn start(terms: &Terms, seed: u64, now: Time, out: &mut dyn Outlet) -> Server {
         let least = f64::from(terms.cores).max(TIER_LEAST);
