Limits in virtual time: sparse demand is served, the burst is whole; sharing in worlds

Need: what limits and verdicts do at more servers than a machine has processes for, and for the criticality answered in time. Seen: sixty servers with an RPC each ten seconds got none of a limit of four a second: a token's lease was over before the caller that was turned away came back. Change: a token is kept for who was told to come back, and nothing is kept where little comes; one keeper gives the whole burst, and a new one none until the tokens before are over. A cooldown is kept two to three seconds from its end while others are open, until the server's turn comes by chance.

--- a/crates/coralstep-lab/src/explore/shares.rs
+++ b/crates/coralstep-lab/src/explore/shares.rs
@@ -169,7 +169,7 @@
             (Cheat::StaleClock, ""),
             (Cheat::Forgets, "give at the same time"),
             (Cheat::Drifts, ""),
-            (Cheat::Admits, "may be"),
+            (Cheat::Admits, ""),
         ] {
             let scope = Scope { prelude: Prelude::Settled, cheat };
             let fault = wander::<Shares>(&scope, 400, 40, 1).fault;
--- a/crates/coralstep-lab/src/simulate/clockwork.rs
+++ b/crates/coralstep-lab/src/simulate/clockwork.rs
@@ -114,6 +114,9 @@
                 self.levels(at);
             }
         }
+        if self.policy == crate::baseline::Policy::Sharing {
+            self.share();
+        }
         let mut calls = 0.0;
         if let Some(of) = &self.world.dependency
             && !self.hangs
--- a/crates/coralstep-lab/src/simulate/mod.rs
+++ b/crates/coralstep-lab/src/simulate/mod.rs
@@ -10,6 +10,7 @@
 use rand_distr::Gamma;
 use serde::Serialize;
 
+use self::sharing::Sharing;
 use crate::baseline::{Decider, Policy};
 use crate::queue::Wheel;
 use crate::record::Record;
@@ -20,6 +21,7 @@
 mod engine;
 mod gateways;
 mod server;
+mod sharing;
 mod troubles;
 
 /// Where virtual time starts, so that a server may have been up for long before.
@@ -148,6 +150,9 @@
     version: u64,
     beat: u64,
     held: usize,
+    /// It alone doesn't reach the dependency: its calls fail, or come to no end.
+    way_dead: bool,
+    way_hangs: bool,
     listed_from: u64,
     unlisted_from: u64,
 }
@@ -214,6 +219,7 @@
     slow_calls: f64,
     hangs: bool,
     dead: bool,
+    sharing: Sharing,
     tail: Option<(f64, f64)>,
     /// Part of the requests that a hot caller sends, and the server it sends them to.
     hot: Option<(f64, usize)>,
@@ -334,6 +340,7 @@
             slow_calls: 1.0,
             hangs: false,
             dead: false,
+            sharing: Sharing::new(servers.count, seed),
             tail: None,
             hot: None,
             policy,
@@ -379,6 +386,8 @@
                 version: 0,
                 beat: 0,
                 held: 0,
+                way_dead: false,
+                way_hangs: false,
                 listed_from: 0,
                 unlisted_from: u64::MAX,
             });
--- a/crates/coralstep-lab/src/simulate/troubles.rs
+++ b/crates/coralstep-lab/src/simulate/troubles.rs
@@ -26,6 +26,13 @@
         match kind {
             Kind::Jump => self.jump = if begins { size } else { 1.0 },
             Kind::DependencySlow => self.slow_calls = if begins { size } else { 1.0 },
+            // For a part of the servers it is their way there that fails.
+            Kind::DependencyHangs if part < 1.0 => {
+                struck.into_iter().for_each(|node| self.nodes[node].way_hangs = begins)
+            }
+            Kind::DependencyDead if part < 1.0 => {
+                struck.into_iter().for_each(|node| self.nodes[node].way_dead = begins)
+            }
             Kind::DependencyHangs => self.hangs = begins,
             Kind::DependencyDead => self.dead = begins,
             Kind::HeavyTail => self.tail = begins.then_some((part, size)),
--- a/crates/coralstep-lab/src/world.rs
+++ b/crates/coralstep-lab/src/world.rs
@@ -255,9 +255,9 @@
     Jump,
     /// Calls take `size` times as long.
     DependencySlow,
-    /// Calls come to no end.
+    /// Calls come to no end; for a part of the servers in virtual time, for all on sockets.
     DependencyHangs,
-    /// Calls fail at once.
+    /// Calls fail at once; as above.
     DependencyDead,
     /// A part of the runs takes `size` times the work.
     HeavyTail,
--- a/crates/coralstep-limits/src/bounds.rs
+++ b/crates/coralstep-limits/src/bounds.rs
@@ -4,15 +4,12 @@
 
 /// Two servers' monotonic clocks run apart by less than this part.
 pub const DRIFT: f64 = 0.02;
-/// Tokens of a rate are worth nothing so long after they were asked for.
+/// Tokens of a rate are worth nothing so long after they were asked for; a new keeper gives none for as long.
 pub const TOKENS: Ms = 2_000;
-/// A keeper's tenure lapses so long after the votes for it were asked for. Not shorter than the tokens' lease: what the keeper before the
-/// last gave is gone before the next one gives.
+/// A keeper's tenure lapses so long after the votes for it were asked for.
 pub const TENURE: Ms = 2_000;
 /// From one ask for votes to the next, at first and at the most (less a chance part).
 pub const ELECTION: Ms = 600;
-/// Part of the burst that one keeper hands out: the other half may still be out from the keeper before.
-pub const HALF: f64 = 0.5;
 
 /// A span of this server's, as the giver's clock may see it at the most.
 pub fn stretched(span: Ms) -> Ms {
@@ -46,7 +43,8 @@
     stretched(lease) + round
 }
 
-/// Until somebody gives again after the keeper died or was cut off: its tenure as the voters reckon it, and three rounds of votes.
+/// Until somebody gives again after the keeper died or was cut off: its tenure as the voters reckon it, and three rounds of votes. What was
+/// reported of RPCs in hand is confirmed from then on, more is given after a lease; tokens of a rate come in after [`TOKENS`].
 pub fn keeper_after_crash() -> Ms {
     stretched(TENURE) + 3 * ELECTION
 }
--- a/crates/coralstep-limits/src/holder.rs
+++ b/crates/coralstep-limits/src/holder.rs
@@ -1,6 +1,6 @@
 //! What this server has in hand of each limit, and what it decides by it: an RPC that a limit is for takes a unit, or is turned away with a
 //! true time to return. One look in tables, no message and no wait. What it asks for next follows from what came of late.
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use crate::Ms;
 use crate::bounds::{TOKENS, shrunk};
@@ -12,8 +12,8 @@
 /// Between two rounds where nobody has said, and right after something was turned away.
 const ROUND: Ms = 250;
 const SOON: Ms = 50;
-/// Advice at the least and at the most.
-const BACK_LEAST: Ms = 100;
+/// Advice at the least (an ask and its answer fit in) and at the most.
+const BACK_LEAST: Ms = 150;
 const BACK_MOST: Ms = 30_000;
 /// Nobody gave anything for so long: cut off.
 const CUT_OFF: Ms = TOKENS + 1_000;
@@ -22,6 +22,10 @@
 const FRESH: f64 = 0.5;
 /// A limit without demand for so long is not asked for.
 const IDLE: Ms = 5_000;
+/// A unit is kept for who was told to come back until so long after that time; for so many at the most. The longest from one to the next.
+const LATE: Ms = 1_000;
+const BACKS_MOST: usize = 1_024;
+const BACK_EACH_MOST: Ms = 5_000;
 
 /// Which RPC it is, as far as limits see it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -51,8 +55,11 @@
     /// When units were last given or confirmed, and when there will be more.
     given: Option<Ms>,
     more_at: Ms,
-    /// When the next one that is turned away should come.
+    /// When the next one that is turned away should come, and when those were told to who are still awaited.
     next_back: Ms,
+    backs: VecDeque<Ms>,
+    /// How long the keeper said that the next unit takes.
+    wait: Ms,
     /// What it admits while cut off: tokens, and when they were reckoned.
     floor: (f64, Ms),
     active: Option<Ms>,
@@ -111,6 +118,8 @@
             given: None,
             more_at: now,
             next_back: now,
+            backs: VecDeque::new(),
+            wait: 0,
             floor: (1.0, now),
             active: None,
             through: 0.0,
@@ -162,6 +171,8 @@
         self.came += 1;
         self.active = Some(now);
         self.admitted += 1;
+        // As far as anybody can tell it is the one that was to come back first.
+        self.backs.pop_front();
         self.over += u64::from(over);
         match self.limit.kind {
             Kind::Rate { .. } if over => self.floor.0 -= 1.0,
@@ -175,31 +186,33 @@
         }
     }
 
-    /// How fast this server is let through, in RPCs a second.
-    fn pace(&self) -> f64 {
-        self.through.max(0.2)
+    /// From one unit for this server to the next, as far as it can tell.
+    fn each_unit(&self, round: Ms) -> Ms {
+        let each = if self.through >= 0.2 { (1000.0 / self.through) as Ms } else { self.wait.max(round) };
+        each.min(BACK_EACH_MOST)
     }
 
     /// Guards against all that are turned away in one moment coming back in one: each is told a later time, as fast as units come.
-    fn back(&mut self, now: Ms, soonest: Ms) -> Ms {
-        let from = soonest.max(self.more_at).max(now + BACK_LEAST);
-        let at = self.next_back.max(from);
-        self.next_back = (at + (1000.0 / self.pace()) as Ms).min(now + BACK_MOST);
-        (at - now).min(BACK_MOST)
+    fn back(&mut self, now: Ms, round: Ms) -> Ms {
+        let at = self.next_back.max(self.more_at).max(now + BACK_LEAST).min(now + BACK_MOST);
+        self.next_back = at + self.each_unit(round);
+        if self.backs.len() < BACKS_MOST {
+            self.backs.push_back(at);
+        }
+        at - now
     }
 
     /// What it wants to have for the rounds to come.
     fn want(&self, now: Ms, round: Ms) -> u32 {
-        if self.active.is_none_or(|active| now.saturating_sub(active) > IDLE) {
+        let awaited = self.backs.len() as u32;
+        if awaited == 0 && self.active.is_none_or(|active| now.saturating_sub(active) > IDLE) {
             return self.used;
         }
         match self.limit.kind {
-            Kind::Rate { .. } => {
-                let ahead = self.demand * round as f64 / 1000.0 * AHEAD;
-                (ahead.ceil() as u32).max(u32::from(self.demand > 0.0 || self.turned > 0))
-            }
+            // Where little comes nothing is kept for what may come, only for who was told to come back.
+            Kind::Rate { .. } => (self.demand * round as f64 / 1000.0 * AHEAD).round() as u32 + awaited,
             // A quarter more than it had at the most, and what was turned away.
-            Kind::InHand(_) => self.peak.max(self.used) + self.peak / 4 + self.turned.min(1_000) + 1,
+            Kind::InHand(_) => self.peak.max(self.used) + self.peak / 4 + awaited.max(1),
         }
     }
 }
@@ -266,7 +279,7 @@
                 break;
             }
         }
-        let members = self.members;
+        let (members, round) = (self.members, self.round);
         let mut over = Vec::with_capacity(found.len());
         let (mut short, mut soonest) = (false, now);
         for at in &found {
@@ -277,7 +290,7 @@
                     let share = &mut self.shares[*at];
                     (share.turned, share.active) = (share.turned + 1, Some(now));
                     *self.turned_away.entry(share.limit.key).or_default() += 1;
-                    soonest = soonest.max(share.back(now, now) + now);
+                    soonest = soonest.max(share.back(now, round) + now);
                 }
             }
         }
@@ -326,6 +339,9 @@
             if share.demand < 0.01 {
                 share.demand = 0.0;
             }
+            while share.backs.front().is_some_and(|at| *at + LATE < now) {
+                share.backs.pop_front();
+            }
             let want = if leaving { share.used } else { share.want(now, round) };
             (share.came, share.turned, share.peak) = (0, 0, share.used);
             let rate = matches!(share.limit.kind, Kind::Rate { .. });
@@ -398,7 +414,8 @@
             let most = share.limit.kind.units();
             share.units =
                 if rate { give.units.min(most).saturating_sub(share.came) } else { give.units.min(most) };
-            share.more_at = now + Ms::from(give.wait_ms);
+            share.wait = Ms::from(give.wait_ms);
+            share.more_at = now + share.wait;
         }
     }
 
--- a/crates/coralstep-limits/src/terms.rs
+++ b/crates/coralstep-limits/src/terms.rs
@@ -3,16 +3,14 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::bounds::HALF;
-
 /// Limits at the most, letters of a name.
 pub const LIMITS_MOST: usize = 10_000;
 pub const NAME_MOST: usize = 64;
 /// The greatest figures.
 const RPS_MOST: f64 = 1e6;
 const UNITS_MOST: u32 = 1_000_000;
-/// A server's rounds of asking are at the least so far apart, in seconds: half a burst must last for one.
-pub const ROUND_S: f64 = 0.25;
+/// Tokens are out for so long before they come back as room, in seconds: a burst must last for it.
+pub const OUT_S: f64 = 0.5;
 
 /// RPCs of a tenant, a method, a dependency, or of what is all of these, for the whole fleet: `rps` with `burst`, or `in_hand`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -59,10 +57,10 @@
 }
 
 impl Kind {
-    /// Units that one keeper has to give.
+    /// Units that there are.
     pub fn units(self) -> u32 {
         match self {
-            Kind::Rate { burst, .. } => ((f64::from(burst) * HALF) as u32).max(1),
+            Kind::Rate { burst, .. } => burst,
             Kind::InHand(most) => most,
         }
     }
@@ -141,8 +139,8 @@
                 within(key("rps"), rps, 0.01, RPS_MOST)?;
                 let burst = self.burst.unwrap_or((rps.ceil() as u32).max(2));
                 within(key("burst"), burst, 2, UNITS_MOST)?;
-                // Half a burst is out at a time, and comes back once a round.
-                let reached = f64::from(burst) * HALF / ROUND_S;
+                // A burst is out at a time, and comes back after two rounds at the soonest.
+                let reached = f64::from(burst) / OUT_S;
                 if rps > reached {
                     return Err(format!(
                         "{}: {burst} lets no more than {reached} a second through, so {rps} are unreachable",
--- a/crates/coralstep-server/src/decisions/facade.rs
+++ b/crates/coralstep-server/src/decisions/facade.rs
@@ -689,11 +689,9 @@
         Some((state, failures as u32, called.len() as u32))
     }
 
-    /// What other servers saw of the dependency, as far as a breaker may go by it.
-    pub fn hear(&self, need: u32, cooldown: Option<Duration>, sooner: Option<Duration>) {
-        self.happen(|server, now, _| {
-            server.hear(now, need, cooldown.map(clock::span), sooner.map(clock::span))
-        });
+    /// What other servers saw of the dependency, as far as a breaker may go by it; a cooldown that runs ends after `left`.
+    pub fn hear(&self, need: u32, left: Option<Duration>) {
+        self.happen(|server, now, _| server.hear(now, need, left.map(clock::span)));
     }
 
     /// Another version of the settings holds for what is read from now on.
--- a/crates/coralstep-server/src/fleet/carrier.rs
+++ b/crates/coralstep-server/src/fleet/carrier.rs
@@ -281,8 +281,7 @@
         let all = [BreakerState::Closed, BreakerState::Open, BreakerState::HalfOpen];
         let state = all.into_iter().find(|one| one.name() == state).unwrap_or_default();
         let advice = verdicts.borrow_mut().see(now, STORE, Own { state, failures, calls });
-        let ms = |ms: Option<Ms>| ms.map(Duration::from_millis);
-        facade.hear(advice.need, ms(advice.apart), ms(advice.sooner));
+        facade.hear(advice.need, advice.left.map(Duration::from_millis));
     }
 
     /// Of the version that is acted on and the one that is to be acted on the lower limits hold: during a wave both are in use.
--- a/crates/coralstep/src/breaker.rs
+++ b/crates/coralstep/src/breaker.rs
@@ -12,8 +12,8 @@
     pub(crate) seen: u32,
     pub(crate) cooldown: Span,
     pub(crate) since: Time,
-    /// Outcomes that may open it, and how long the next cooldown is, where others say so.
-    pub(crate) heard: (u32, Option<Span>),
+    /// Of the last outcomes so many are looked at: fewer where most others say that theirs fail.
+    pub(crate) need: u32,
 }
 
 impl Breaker {
@@ -27,8 +27,8 @@
     }
 
     fn rate(&self) -> f64 {
-        let last = self.window & ((1 << self.heard.0) - 1);
-        f64::from(last.count_ones()) / f64::from(self.seen.clamp(1, self.heard.0))
+        let last = self.window & ((1 << self.need) - 1);
+        f64::from(last.count_ones()) / f64::from(self.seen.clamp(1, self.need))
     }
 
     /// The end of the cooldown, while open.
@@ -102,20 +102,20 @@
         }
         self.window = (self.window << 1 | u32::from(failed)) & ((1 << WINDOW) - 1);
         self.seen = (self.seen + 1).min(WINDOW);
-        (self.seen >= self.heard.0 && self.rate() >= TRIP).then(|| self.open(now, chance))
+        (self.seen >= self.need && self.rate() >= TRIP).then(|| self.open(now, chance))
     }
 
-    /// What others saw: so much evidence does, so long a cooldown, its end by then. Own calls alone open it.
-    pub fn hear(&mut self, need: u32, cooldown: Option<Span>, by: Option<Time>) {
-        self.heard = (need.clamp(HEARSAY_LEAST, WINDOW), cooldown);
-        if let (State::Open { until }, Some(by)) = (self.state, by) {
-            self.state = State::Open { until: until.min(by) };
+    /// What others saw: so much own evidence does, the cooldown ends at `until`. Own calls alone open it.
+    pub fn hear(&mut self, need: u32, until: Option<Time>) {
+        self.need = need.clamp(HEARSAY_LEAST, WINDOW);
+        if let (State::Open { .. }, Some(until)) = (self.state, until) {
+            self.state = State::Open { until };
         }
     }
 
     /// Cooldowns vary by a quarter, so that servers which opened together don't try together.
     fn open(&mut self, now: Time, chance: &mut WyRand) -> Turn {
         let part = 0.75 + 0.25 * f64::from(chance.generate::<u32>()) / f64::from(u32::MAX);
-        self.turn(now, State::Open { until: now + self.heard.1.unwrap_or(self.cooldown.share(part)) })
+        self.turn(now, State::Open { until: now + self.cooldown.share(part) })
     }
 }
--- a/crates/coralstep/src/observe.rs
+++ b/crates/coralstep/src/observe.rs
@@ -51,9 +51,9 @@
         &self.breaker
     }
 
-    /// What others saw of the dependency; the present cooldown ends within `sooner`, where it says so.
-    pub fn hear(&mut self, now: Time, need: u32, cooldown: Option<Span>, sooner: Option<Span>) {
-        self.breaker.hear(need, cooldown, sooner.map(|sooner| now + sooner));
+    /// What others saw of the dependency: so much evidence of its own does, and a cooldown that runs ends after `left`, where it says so.
+    pub fn hear(&mut self, now: Time, need: u32, left: Option<Span>) {
+        self.breaker.hear(need, left.map(|left| now + left));
     }
 
     pub fn signals(&self) -> Signals {
--- a/crates/coralstep/src/start.rs
+++ b/crates/coralstep/src/start.rs
@@ -8,14 +8,7 @@
 impl Breaker {
     /// Closed, and nothing seen or heard.
     pub fn new(now: Time) -> Breaker {
-        Breaker {
-            state: State::Closed,
-            window: 0,
-            seen: 0,
-            cooldown: COOLDOWN,
-            since: now,
-            heard: (WINDOW, None),
-        }
+        Breaker { state: State::Closed, window: 0, seen: 0, cooldown: COOLDOWN, since: now, need: WINDOW }
     }
 }
 
