--- a/crates/coralstep-lab/src/fleet/processes.rs
+++ b/crates/coralstep-lab/src/fleet/processes.rs
@@ -49,11 +49,13 @@
     pub call_share: f64,
     /// The site file's `limits`.
     pub limits: Value,
+    /// Levels of reduced service, the built-in ones. They turn calls away by themselves when a store hangs.
+    pub levels: bool,
 }
 
 impl Setup {
     pub fn new(fleet: Value) -> Setup {
-        Setup { fleet, work_ms: 2.0, store: None, call_share: 20.0, limits: Value::Null }
+        Setup { fleet, work_ms: 2.0, store: None, call_share: 20.0, limits: Value::Null, levels: true }
     }
 }
 
@@ -225,6 +227,11 @@
         {
             site.remove("fleet");
         }
+        if !self.setup.levels
+            && let Some(site) = site.as_object_mut()
+        {
+            site.remove("levels");
+        }
         if !self.setup.limits.is_null() {
             site["limits"] = self.setup.limits.clone();
         }
--- a/crates/coralstep-server/src/fleet/carrier.rs
+++ b/crates/coralstep-server/src/fleet/carrier.rs
@@ -44,8 +44,12 @@
 /// The limits of a version's content, or of the site file alone.
 pub type LimitsOf = Box<dyn Fn(Option<&str>) -> Vec<Limit>>;
 
+/// Hears what is seen of a dependency (name, state, failures and calls of late) and says what others saw: how much evidence does, and how
+/// long a cooldown lasts from now.
+pub type See<'a> = &'a mut dyn FnMut(&str, &'static str, u32, u32) -> (u32, Option<Duration>);
+
 /// Passes on what is seen of dependencies beside the store: name, state, failures and calls of late; what others saw comes back.
-pub type Watch = Box<dyn Fn(&mut dyn FnMut(&str, &'static str, u32, u32) -> (u32, Option<Duration>))>;
+pub type Watch = Box<dyn Fn(See<'_>)>;
 
 pub struct Carrier {
     fleet: RefCell<Fleet>,
--- a/crates/coralstep-server/src/runs/applications.rs
+++ b/crates/coralstep-server/src/runs/applications.rs
@@ -28,6 +28,7 @@
 use crate::base::clock::{self, Clock};
 use crate::base::lines::Ref;
 use crate::decisions::facade::RunEnd;
+use crate::fleet::carrier::See;
 use crate::note;
 use crate::runs::{Notice, Notices, Order, Run, Runs};
 
@@ -110,7 +111,7 @@
     }
 
     /// What is seen of each application is passed on; what others saw comes back: evidence needed, and by when a cooldown ends.
-    pub fn watch(&self, see: &mut dyn FnMut(&str, &'static str, u32, u32) -> (u32, Option<Duration>)) {
+    pub fn watch(&self, see: See<'_>) {
         let now = self.now();
         let views = self.pool.borrow().view(now);
         for view in views.into_iter().filter(|view| !view.leaving) {
--- a/crates/coralstep-server/tests/verdicts.rs
+++ b/crates/coralstep-server/tests/verdicts.rs
@@ -28,7 +28,8 @@
 
 fn fleet(count: usize, seed: u64, store: &Store, verdicts: Value) -> Fleet {
     let more = if verdicts.is_null() { json!({}) } else { json!({ "verdicts": verdicts }) };
-    let setup = Setup { store: Some(store.address), ..Setup::new(more) };
+    // Without levels: what is measured is the breaker.
+    let setup = Setup { store: Some(store.address), levels: false, ..Setup::new(more) };
     let fleet = Fleet::set_up(program(), count, seed, setup).unwrap();
     let met = |fleet: &Fleet| (0..count).all(|at| fleet.alive(at).is_ok_and(|alive| alive == count));
     assert!(fleet.until(LIMIT * 2, met).is_some(), "they don't meet");
@@ -247,5 +248,8 @@
         let fleet = fleet(count, 53, &store, verdicts);
         let came = outage(&fleet, &store, rate, ms(25_000), Duration::from_secs_f64(hangs), ms(25_000));
         println!("{count} servers, {rate} calls a second each, {name}: {came:?}");
+        if std::env::var("LOG").is_ok() {
+            fleet.log(0).iter().for_each(|line| println!("  {line}"));
+        }
     }
 }
