--- a/crates/coralstep-limits/src/holder.rs
+++ b/crates/coralstep-limits/src/holder.rs
@@ -100,6 +100,8 @@
     /// The most members ever known here.
     members: usize,
     turned_away: HashMap<u64, u64>,
+    /// RPCs in hand of limits that are gone: they are in hand all the same should the limit come again.
+    gone: HashMap<u64, u32>,
 }
 
 impl Share {
@@ -231,6 +233,7 @@
             turn: 0,
             members: 1,
             turned_away: HashMap::new(),
+            gone: HashMap::new(),
         };
         holder.limits(limits, now);
         holder
@@ -244,10 +247,13 @@
         for (at, limit) in limits.iter().enumerate() {
             let mut share = old.remove(&limit.key).unwrap_or_else(|| Share::new(limit.clone(), now));
             share.limit = limit.clone();
+            share.used += self.gone.remove(&limit.key).unwrap_or(0);
             self.by.entry((limit.tenant, limit.method, limit.calls)).or_default().push(at);
             self.index.insert(limit.key, at);
             self.shares.push(share);
         }
+        let left = old.into_iter().filter(|(_, share)| share.used > 0);
+        self.gone.extend(left.map(|(key, share)| (key, share.used)));
         self.turned_away.retain(|key, _| self.index.contains_key(key));
     }
 
@@ -316,6 +322,11 @@
             if let Some(at) = self.index.get(&key) {
                 let share = &mut self.shares[*at];
                 share.used = share.used.saturating_sub(1);
+            } else if let Some(used) = self.gone.get_mut(&key) {
+                *used -= 1;
+                if *used == 0 {
+                    self.gone.remove(&key);
+                }
             }
         }
     }
@@ -442,3 +453,41 @@
         self.index.get(&key).map_or((0, 0), |at| (self.shares[*at].admitted, self.shares[*at].over))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn rpcs_in_hand_count_also_where_their_limit_goes_and_comes_again() {
+        let limit = Limit {
+            key: 1,
+            name: "x".to_owned(),
+            tenant: None,
+            method: Some(0),
+            calls: false,
+            kind: Kind::InHand(2),
+            cut_off: CutOff::Strict,
+        };
+        let mut holder = Holder::new(std::slice::from_ref(&limit), 0);
+        let gives = |holder: &mut Holder, now: Ms| {
+            let _ = holder.admit(now, Which::default(), 1_000);
+            let (number, asks) = holder.asks(now + 300, false).pop().unwrap();
+            assert_eq!(asks[0].key, 1);
+            holder.gives(now + 310, 7, number, 10_000, 250, &[Give { key: 1, units: 2, wait_ms: 0 }]);
+        };
+        gives(&mut holder, 0);
+        let first = holder.admit(400, Which::default(), 1_000).unwrap();
+        let second = holder.admit(400, Which::default(), 1_000).unwrap();
+        holder.limits(&[], 500);
+        assert_eq!(holder.admit(500, Which::default(), 1_000), Ok(Pass::default()));
+        holder.done(first);
+        holder.limits(&[limit], 600);
+        gives(&mut holder, 600);
+        // One of two is still in hand.
+        assert!(holder.admit(1_000, Which::default(), 1_000).is_ok());
+        assert!(holder.admit(1_000, Which::default(), 1_000).is_err());
+        holder.done(second);
+        assert!(holder.admit(1_000, Which::default(), 1_000).is_ok());
+    }
+}
--- a/crates/coralstep-limits/src/keeper.rs
+++ b/crates/coralstep-limits/src/keeper.rs
@@ -204,7 +204,11 @@
             book.kind = limit.kind;
         }
         let keys: std::collections::BTreeSet<u64> = limits.iter().map(|limit| limit.key).collect();
-        self.books.retain(|key, _| keys.contains(key));
+        // Guards against a limit that goes and comes again within a lease: what was given before is still out then.
+        self.books.retain(|key, book| {
+            book.reckon(now);
+            keys.contains(key) || book.out(None) > 0
+        });
     }
 
     /// A server asks; `ours`: what it says it holds was given in this tenure.
@@ -363,6 +367,20 @@
         assert_eq!(ask(&mut keeper, woken + 40, "b", 2, 0, 30).unwrap().units, 30);
     }
 
+    #[test]
+    fn a_limit_that_goes_and_comes_again_within_a_lease_finds_what_is_still_out() {
+        let mut keeper = keeper(Kind::InHand(4));
+        let woken = stretched(LEASE);
+        assert_eq!(ask(&mut keeper, woken, "a", 1, 0, 4).unwrap().units, 4);
+        keeper.limits(woken + 10, &[]);
+        keeper.limits(woken + 20, &[limit(Kind::InHand(4))]);
+        assert_eq!(ask(&mut keeper, woken + 30, "b", 1, 0, 4).unwrap().units, 0);
+        // Its lease over, nothing is kept of one that is gone.
+        keeper.limits(woken + 40, &[]);
+        keeper.limits(woken + 2 * stretched(LEASE), &[]);
+        assert!(keeper.books.is_empty());
+    }
+
     #[test]
     fn the_level_serves_the_small_wants_whole() {
         assert_eq!(level([1, 2, 30].into_iter(), 10), 7);
