Tests that stood in sources live in test files of their own

Cause: the users want tests in test files. Two paths of included files gained a step. tests/rooms.rs passes over such folders, and fails where anything but tests.rs is in one.

--- a/crates/coralstep-lab/src/demo.rs
+++ b/crates/coralstep-lab/src/demo.rs
@@ -32,10 +32,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    #[test]
-    fn its_world_is_sound_and_short() {
-        let world = super::world().unwrap();
-        assert_eq!((world.seconds, world.servers.count), (super::SECONDS as f64, 3));
-    }
-}
+mod tests;
--- a/crates/coralstep-lab/src/queue.rs
+++ b/crates/coralstep-lab/src/queue.rs
@@ -153,47 +153,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use std::cmp::Reverse;
-
-    use proptest::prelude::*;
-
-    use super::*;
-
-    proptest! {
-        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(300) })]
-
-        /// The same as a plain heap by time and tie, whatever is pushed between two pops.
-        #[test]
-        fn events_come_as_from_a_heap(steps in prop::collection::vec((0u8..5, 0u32..48, any::<u64>(), 0u64..4), 1..300)) {
-            let (mut wheel, mut heap, mut now) = (Wheel::default(), BinaryHeap::new(), 0u64);
-            for (number, (what, bits, span, tie)) in steps.into_iter().enumerate() {
-                if what < 3 {
-                    let at = now + (span & ((1 << bits) - 1));
-                    // Ties are told apart here, as the simulator's are by their many bits.
-                    let tie = tie * 1_000 + number as u64;
-                    wheel.push(at, tie, number);
-                    heap.push(Reverse((at, tie, number)));
-                } else {
-                    let expected = heap.pop().map(|Reverse((at, _, number))| (at, number));
-                    prop_assert_eq!(wheel.pop(), expected);
-                    now = expected.map_or(now, |(at, _)| at);
-                }
-                prop_assert_eq!(wheel.len(), heap.len());
-            }
-            while let Some(Reverse((at, _, number))) = heap.pop() {
-                prop_assert_eq!(wheel.pop(), Some((at, number)));
-            }
-            prop_assert!(wheel.pop().is_none() && wheel.is_empty());
-        }
-    }
-
-    #[test]
-    fn the_past_happens_now() {
-        let mut wheel = Wheel::default();
-        wheel.push(1_000_000, 1, "first");
-        assert_eq!(wheel.pop(), Some((1_000_000, "first")));
-        wheel.push(5, 1, "late");
-        assert_eq!(wheel.pop(), Some((1_000_000, "late")));
-    }
-}
+mod tests;
--- a/crates/coralstep-server/tests/rooms.rs
+++ b/crates/coralstep-server/tests/rooms.rs
@@ -17,6 +17,12 @@
     for (place, room) in ROOMS.iter().enumerate() {
         for file in std::fs::read_dir(src.join(room)).unwrap() {
             let (file, mut above) = (file.unwrap().path(), ROOMS[place + 1..].iter());
+            if file.is_dir() {
+                // A file's tests stand in a folder of its name, with nothing beside them.
+                let beside = std::fs::read_dir(&file).unwrap().map(|file| file.unwrap().file_name());
+                assert_eq!(beside.collect::<Vec<_>>(), ["tests.rs"], "{}", file.display());
+                continue;
+            }
             let code = code(&file);
             let knows = above.find(|above| code.contains(&format!("crate::{above}::")));
             assert_eq!(knows, None, "{}", file.display());
--- a/crates/coralstep-terms/src/lib.rs
+++ b/crates/coralstep-terms/src/lib.rs
@@ -196,44 +196,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_wire_and_json_say_the_same() {
-        let line = "classes.count=2 classes.0.name=read classes.0.promise=2300000050 classes.0.worth=1.5 \
-            classes.1.name=save classes.1.idempotency=once classes.1.deadline=12000000000 domain.cores=6 \
-            domain.depends_on=shared domain.call_share=5.41 domain.calls_by_class=true,false domain.linger=50 \
-            domain.class_skip_worth=0.5,0.0 domain.fresh_start=true domain.gauges=cpu_busy,sockets realms.count=1 \
-            realms.0.name=north realms.0.quota_rps=65.0 goal.whole=0.4";
-        let json = serde_json::json!({
-            "classes": [{"name": "read", "promise": 2_300_000_050u64, "worth": 1.5},
-                        {"name": "save", "idempotency": "once", "deadline": 12_000_000_000u64}],
-            "domain": {"cores": 6, "depends_on": "shared", "call_share": 5.41, "calls_by_class": [true, false],
-                       "linger": 50, "class_skip_worth": [0.5, 0.0], "fresh_start": true,
-                       "gauges": ["cpu_busy", "sockets"], "unheard": null},
-            "realms": [{"name": "north", "quota_rps": 65.0}], "goal": {"whole": 0.4}, "stages": [[1], [2]]
-        });
-        let pairs = line.split_whitespace().filter_map(|pair| pair.split_once('='));
-        let (wire, wire_names) = from_pairs(pairs).unwrap();
-        let (terms, names) = from_json(&json).unwrap();
-        assert_eq!(format!("{terms:?} {names:?}"), format!("{wire:?} {wire_names:?}"));
-        assert_eq!((terms.methods[0].target, terms.linger), (Span(23_000), Span(1)));
-        assert_eq!((terms.methods[1].calls, terms.methods[0].skip), (false, 0.5));
-        assert_eq!(names.tenants, ["north"]);
-    }
-
-    #[test]
-    fn a_faulty_setting_is_named() {
-        for (path, value, why) in [
-            ("domain.advert", "loud", "domain.advert=loud is unknown"),
-            ("domain.preemption", "kill", "domain.preemption=kill is unknown"),
-            ("domain.memory_kb", "-1", "domain.memory_kb=-1 is no amount"),
-            ("domain.fresh_start", "yes", "domain.fresh_start=yes is neither 1 nor 0"),
-            ("safety.drain_grace", "2s", "safety.drain_grace=2s is no proper value"),
-        ] {
-            assert_eq!(from_pairs([(path, value)].into_iter()).err().as_deref(), Some(why));
-        }
-        assert_eq!(from_json(&Value::Null).err().as_deref(), Some("settings: not an object"));
-    }
-}
+mod tests;
