An application that has come back gets its part by chance, summed over all processes

Need: cold servers fall under the sum of what all processes send; past a budget of N only 2 x root of N + 2 is chance.

At fault, found by reading and by the new tests: `Pool::load` weighed a cold application by its ramp against what is in hand, which each process rounds for itself (nothing at all while little is in hand, one in hand in each of thirty beyond that); `Pool::trial` let the trial of every process through at once when their cooldowns end together; one that restarted too quickly for its breaker was not taken for cold.

Now (coralstep-pool/src/ramp.rs) each attempt that falls to a cold application is let through by chance, by its part of a fair share, and goes to a warm one otherwise. Where `applications.cold_rate` is stated, all processes together keep to it, trials too; each has its part by the number of processes: `applications.processes`, or what the fleet's members say where that is more. Parts below one attempt are drawn, not rounded up, and no more than 250 ms of them is saved by a process that rests. A connection that was refused marks the application as cold.

--- a/crates/coralstep-lab/src/explore/pool.rs
+++ b/crates/coralstep-lab/src/explore/pool.rs
@@ -1,7 +1,7 @@
 //! The pool of applications in a small scope: two applications, attempts that end in each way or not at all, applications that go and
 //! come. Checked: no attempt at one that is shut but its trial, no more in hand than allowed, and coming free.
 use coralstep::{Span, Time};
-use coralstep_pool::{End, Pick, Pool as Real, PoolTerms};
+use coralstep_pool::{End, Pick, Pool as Real, PoolTerms, RampTerms};
 
 use super::Play;
 
@@ -88,7 +88,11 @@
     type Scope = Scope;
 
     fn start(scope: &Scope) -> Pool {
-        let terms = PoolTerms { each_most: EACH_MOST, slow_start: Span::ms(1_000), ..PoolTerms::default() };
+        let terms = PoolTerms {
+            each_most: EACH_MOST,
+            ramp: RampTerms { slow_start: Span::ms(1_000), ..PoolTerms::default().ramp },
+            ..PoolTerms::default()
+        };
         let mut real = Real::new(terms, 7);
         real.set(Time(START), &[1, 2]);
         let mut pool = Pool { real, now: START, out: Vec::new(), chosen: 0, both: true, broken: None };
--- a/crates/coralstep-pool/src/lib.rs
+++ b/crates/coralstep-pool/src/lib.rs
@@ -20,7 +20,10 @@
 use nanorand::{Rng, WyRand};
 
 mod budget;
+mod ramp;
 pub use budget::Budget;
+pub use ramp::RampTerms;
+use ramp::{Ramp, drawn};
 
 /// The usual time of an answer before any came, and the wait advised where all are only full.
 const GUESS: Span = Span::ms(250);
@@ -28,8 +31,10 @@
 const STALE: Span = Span::ms(10_000);
 /// Part that the last answer has in an application's usual time: some ten answers are remembered.
 const LAST: f64 = 0.2;
-/// The least part of its share that an application gets after its return, so that it is seen to work at all.
-const SLOW_LEAST: f64 = 0.1;
+/// A trial that the cold rate does not leave to this process is due again after so long.
+const TRIAL_AGAIN: Span = Span::ms(50);
+/// Draws for one of the warm applications before they are looked through in order.
+const DRAWS: u32 = 8;
 
 /// Attempts of so long are told to others, the last ones.
 pub const RECENT: Span = Span::ms(2_000);
@@ -38,8 +43,8 @@
 /// What is agreed at start.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolTerms {
-    /// After a return an application gets its whole share only after so long.
-    pub slow_start: Span,
+    /// How an application that has come back is led up to its share.
+    pub ramp: RampTerms,
     /// Attempts in hand at one application at the most.
     pub each_most: u32,
     /// Repeats as a part of first tries.
@@ -49,9 +54,10 @@
 }
 
 impl Default for PoolTerms {
-    /// Ten seconds of slow start, 64 in hand, a tenth of repeats, three attempts.
+    /// Ten seconds of slow start by one process, 64 in hand, a tenth of repeats, three attempts.
     fn default() -> PoolTerms {
-        PoolTerms { slow_start: Span::ms(10_000), each_most: 64, repeats: 0.1, attempts: 3 }
+        let ramp = RampTerms { slow_start: Span::ms(10_000), cold_rate: 0.0, processes: 1 };
+        PoolTerms { ramp, each_most: 64, repeats: 0.1, attempts: 3 }
     }
 }
 
@@ -64,12 +70,21 @@
     Failed,
     /// Nothing of it ever left: it provably never ran.
     Unstarted,
+    /// The same, for nobody listens there: the application is not up, and will be cold when it is.
+    Refused,
     /// Some of it left, and no whole answer came.
     Broken,
     /// Nobody waits for it any more, and that tells nothing of the application.
     GivenUp,
 }
 
+impl End {
+    /// Whether it never ran.
+    pub fn is_unstarted(self) -> bool {
+        matches!(self, End::Unstarted | End::Refused)
+    }
+}
+
 /// An attempt at one application; to be given back to [`Pool::ended`].
 #[derive(Debug)]
 pub struct Pick {
@@ -94,8 +109,10 @@
     time: f64,
     last: Time,
     breaker: Breaker,
-    /// Since when it is served by, for the slow start; nothing for those of the first hour.
-    back: Option<Time>,
+    /// While it is led up to its share; those that were there from the start are not.
+    ramp: Option<Ramp>,
+    /// Nobody listened there at the last attempt.
+    down: bool,
     /// Its place among the ready ones.
     ready: Option<usize>,
     /// No longer part of the pool; goes with its last attempt.
@@ -179,7 +196,8 @@
                 last: now,
                 breaker: Breaker::new(now),
                 recent: VecDeque::new(),
-                back: (!first).then_some(now),
+                ramp: (!first).then(|| Ramp::new(now)),
+                down: false,
                 ready: None,
                 leaving: false,
             };
@@ -224,14 +242,13 @@
         }
     }
 
-    /// How loaded an application is: what is in hand, by how long it usually takes, more while it starts slowly.
+    /// How loaded an application is: what is in hand, by how long it usually takes.
     fn load(&self, now: Time, slot: u32) -> f64 {
         let Some(app) = self.apps[slot as usize].as_ref() else { return f64::MAX };
         let usual = if self.usual > 0.0 { self.usual } else { GUESS.0 as f64 };
         let known = 1.0 - ((now - app.last).0 as f64 / STALE.0 as f64).min(1.0);
         let time = if app.time > 0.0 { usual + (app.time - usual) * known } else { usual };
-        let ramp = app.back.map_or(1.0, |back| (now - back).0 as f64 / self.terms.slow_start.0.max(1) as f64);
-        f64::from(app.in_hand + 1) * time / ramp.clamp(SLOW_LEAST, 1.0)
+        f64::from(app.in_hand + 1) * time
     }
 
     /// Whose cooldown is over gets its one trial.
@@ -241,10 +258,15 @@
                 return None;
             }
             self.shut.pop();
-            let app = self.apps[slot as usize].as_ref();
-            if app.is_some_and(|app| !app.leaving && app.breaker.awaits_trial(now)) {
+            let (terms, chance) = (&self.terms.ramp, &mut self.chance);
+            let app = self.apps[slot as usize].as_mut();
+            let Some(app) = app.filter(|app| !app.leaving && app.breaker.awaits_trial(now)) else { continue };
+            // Guards against the trials of many processes, each one alone and all at once.
+            let ramp = app.ramp.get_or_insert_with(|| Ramp::new(now));
+            if ramp.lets(now, terms, chance) {
                 return Some(slot);
             }
+            self.shut.push(Reverse((now + TRIAL_AGAIN, slot)));
         }
         None
     }
@@ -268,22 +290,79 @@
         Ok(Pick { slot, began: now, attempt, judged: false })
     }
 
+    /// Whether a ready application is still led up to its share.
+    fn is_cold(&mut self, now: Time, slot: u32) -> bool {
+        let (terms, app) = (&self.terms.ramp, self.apps[slot as usize].as_mut());
+        let Some(app) = app else { return false };
+        app.ramp = app.ramp.take().filter(|ramp| !ramp.is_over(now, terms));
+        app.ramp.is_some()
+    }
+
+    /// A warm one by chance, not that of `but`; `None` where there is none.
+    fn warm(&mut self, now: Time, but: Option<u32>) -> Option<u32> {
+        let count = self.ready.len();
+        for _ in 0..DRAWS {
+            let at = self.index(count)?;
+            let slot = self.ready[at];
+            if Some(slot) != but && !self.is_cold(now, slot) {
+                return Some(slot);
+            }
+        }
+        let from = self.index(count)?;
+        let slots = (0..count).map(|at| self.ready[(from + at) % count]);
+        let slots: Vec<u32> = slots.filter(|slot| Some(*slot) != but).collect();
+        slots.into_iter().find(|slot| !self.is_cold(now, *slot))
+    }
+
+    /// A cold one gets its part of what falls to it by chance, and no more for standing idle; the others share the rest, each
+    /// attempt going to the less loaded of two.
     fn less_loaded(&mut self, now: Time, but: Option<u32>) -> Option<u32> {
         let count = self.ready.len();
         let at = self.index(count)?;
-        let first = self.ready.get(at).copied()?;
-        if count == 1 {
+        let first = self.ready[at];
+        if Some(first) != but && self.is_cold(now, first) && self.takes(now, first) {
             return Some(first);
         }
-        // The second is any but the first.
-        let second = (at + 1 + self.index(count - 1)?) % count;
-        let second = self.ready[second];
-        match but {
-            Some(but) if but == first => Some(second),
-            Some(but) if but == second => Some(first),
-            _ if self.load(now, second) < self.load(now, first) => Some(second),
-            _ => Some(first),
+        let one = match self.warm(now, but) {
+            Some(one) => one,
+            // The one that it comes from is better than none, unless all others are cold: then they share it.
+            None => return self.cold(now, but),
+        };
+        let other = self.warm(now, Some(one)).filter(|other| Some(*other) != but);
+        Some(other.filter(|other| self.load(now, *other) < self.load(now, one)).unwrap_or(one))
+    }
+
+    /// Whether a cold application takes this attempt: by its part, by the cold rate, and not where it is more loaded than a warm one.
+    fn takes(&mut self, now: Time, slot: u32) -> bool {
+        let part = self.apps[slot as usize]
+            .as_ref()
+            .and_then(|app| Some(app.ramp.as_ref()?.part(now, &self.terms.ramp)));
+        if !drawn(part.unwrap_or(1.0), &mut self.chance) {
+            return false;
         }
+        let warm = self.warm(now, None);
+        warm.is_none_or(|warm| self.load(now, slot) <= self.load(now, warm)) && self.lets(now, slot)
+    }
+
+    fn lets(&mut self, now: Time, slot: u32) -> bool {
+        let (terms, chance) = (&self.terms.ramp, &mut self.chance);
+        let ramp = self.apps[slot as usize].as_mut().and_then(|app| app.ramp.as_mut());
+        ramp.is_none_or(|ramp| ramp.lets(now, terms, chance))
+    }
+
+    /// Where none is warm: the less loaded of two, as far as the cold rate lets it; the one of `but` where there is no other.
+    fn cold(&mut self, now: Time, but: Option<u32>) -> Option<u32> {
+        let others: Vec<u32> = self.ready.iter().copied().filter(|slot| Some(*slot) != but).collect();
+        let Some(at) = self.index(others.len()) else {
+            return self
+                .ready
+                .first()
+                .copied()
+                .filter(|slot| !self.is_cold(now, *slot) || self.lets(now, *slot));
+        };
+        let second = others[(at + 1) % others.len()];
+        let slot = if self.load(now, second) < self.load(now, others[at]) { second } else { others[at] };
+        self.lets(now, slot).then_some(slot)
     }
 
     fn index(&mut self, count: usize) -> Option<usize> {
@@ -313,9 +392,10 @@
         let Some(turn) = app.breaker.result(now, attempt, began, failed, &mut self.chance) else { return };
         if app.breaker.is_closed() {
             // What it did before it was shut is no measure of it now.
-            (app.back, app.time) = (Some(now), 0.0);
+            (app.ramp, app.time) = (Some(Ramp::new(now)), 0.0);
         }
         if let Some(until) = app.breaker.until() {
+            app.ramp = None;
             self.shut.push(Reverse((until, slot)));
         }
         let key = app.key.clone();
@@ -329,6 +409,12 @@
         if let Some(app) = self.apps[slot as usize].as_mut() {
             app.in_hand -= 1;
             let took = (now - began).0.max(1) as f64;
+            if end == End::Refused {
+                app.down = true;
+            } else if end == End::Answered && std::mem::take(&mut app.down) {
+                // Guards against an application that was restarted too quickly for its breaker to open, and is as cold.
+                app.ramp = Some(Ramp::new(now));
+            }
             if matches!(end, End::Answered | End::Failed) {
                 app.time = if app.time > 0.0 { app.time + (took - app.time) * LAST } else { took };
                 app.last = now;
@@ -357,10 +443,15 @@
     /// Whether an RPC whose attempt ended so is tried once more. Only what provably never ran or may run twice, never past its
     /// due time, and within the budget.
     pub fn repeats(&mut self, now: Time, end: End, idempotent: bool, made: u32, due: Time) -> bool {
-        let allowed = end == End::Unstarted || (idempotent && matches!(end, End::Failed | End::Broken));
+        let allowed = end.is_unstarted() || (idempotent && matches!(end, End::Failed | End::Broken));
         allowed && made < self.terms.attempts && now < due && self.budget.spend()
     }
 
+    /// So many processes send from now on, as far as is known.
+    pub fn processes(&mut self, count: u32) {
+        self.terms.ramp.processes = count.max(1);
+    }
+
     /// Attempts in hand of all.
     pub fn in_hand(&self) -> u32 {
         self.apps.iter().flatten().map(|app| app.in_hand).sum()
--- a/crates/coralstep-server/src/fleet/carrier.rs
+++ b/crates/coralstep-server/src/fleet/carrier.rs
@@ -358,6 +358,12 @@
         json!({ "members": members, "shut": fleet.shut(), "not_believed": self.faults.get(), "held_back": self.held_back.get() })
     }
 
+    /// Servers of the fleet that are not known to have gone, this one among them.
+    pub fn count(&self) -> usize {
+        let members = self.fleet.borrow().members(self.now());
+        members.iter().filter(|(_, state, ..)| !matches!(state, State::Gone)).count().max(1)
+    }
+
     pub fn versions(&self) -> Value {
         let fleet = self.fleet.borrow();
         let versions = fleet.versions();
--- a/crates/coralstep-server/src/lib.rs
+++ b/crates/coralstep-server/src/lib.rs
@@ -18,6 +18,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer, block_on};
+use async_signal::Signals;
 use futures_lite::FutureExt;
 
 pub mod base;
@@ -29,7 +30,7 @@
 pub mod operators;
 pub mod runs;
 
-use base::config::Source;
+use base::config::{Config, Source};
 use base::endpoints::Endpoints;
 use base::log;
 use callers::connections::Connections;
@@ -55,11 +56,25 @@
     TcpListener::bind(address).and_then(Async::new).map_err(|why| format!("listen: {address}: {why}"))
 }
 
+/// Why nothing was served.
+#[derive(Debug)]
+pub enum Fault {
+    /// What the files say; no port was opened.
+    Files(String),
+    System(String),
+}
+
 /// Serves until told to leave.
-pub fn serve(source: Source) -> Result<(), String> {
+pub fn serve(source: Source) -> Result<(), Fault> {
+    // Before the files are read: a notice or a reload that comes meanwhile ends nobody and is not missed.
     let (leave, again) = (drain::signals(), reload::signals());
-    let (leave, again) = leave.and_then(|leave| Ok((leave, again?))).map_err(|why| why.to_string())?;
-    let config = source.load()?;
+    let (leave, again) =
+        leave.and_then(|leave| Ok((leave, again?))).map_err(|why| Fault::System(why.to_string()))?;
+    let config = source.load().map_err(Fault::Files)?;
+    run(source, config, leave, again).map_err(Fault::System)
+}
+
+fn run(source: Source, config: Config, leave: Signals, again: Signals) -> Result<(), String> {
     let site = &config.site;
     let executor = Rc::new(LocalExecutor::new());
     let (terms, names) = (config.terms.clone(), config.names.clone());
@@ -166,6 +181,14 @@
         if let Some(carrier) = &carrier {
             carrier.guard(&facade);
             parts.push(Box::pin(carrier.run(&facade, &take, &watch)));
+            if let Some(applications) = &movable.applications {
+                parts.push(Box::pin(async move {
+                    loop {
+                        applications.processes(carrier.count());
+                        Timer::after(COUNTED).await;
+                    }
+                }));
+            }
         }
         parts.extend(
             listeners
@@ -183,6 +206,9 @@
     Ok(())
 }
 
+/// Between two looks at how many servers the fleet has.
+const COUNTED: Duration = Duration::from_secs(1);
+
 type Part<'a> = Pin<Box<dyn Future<Output = ()> + 'a>>;
 
 /// Runs all; never ends, as some of them don't.
--- a/crates/coralstep-server/src/runs/applications.rs
+++ b/crates/coralstep-server/src/runs/applications.rs
@@ -20,7 +20,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use coralstep::{Time, Turn};
-use coralstep_pool::{End, Pick, Pool, PoolTerms};
+use coralstep_pool::{End, Pick, Pool, PoolTerms, RampTerms};
 use coralstep_scgi::{Bounds, answer, request};
 use coralstep_terms::site::ApplicationTerms;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -86,7 +86,11 @@
 
 fn pool_terms(terms: &ApplicationTerms) -> PoolTerms {
     PoolTerms {
-        slow_start: clock::span(Duration::from_millis(u64::from(terms.slow_start_ms))),
+        ramp: RampTerms {
+            slow_start: clock::span(Duration::from_millis(u64::from(terms.slow_start_ms))),
+            cold_rate: terms.cold_rate,
+            processes: terms.processes,
+        },
         each_most: terms.each_most,
         repeats: terms.repeats,
         attempts: terms.attempts,
@@ -115,9 +119,17 @@
     /// Takes up another list of applications, and their paths; what is open stays where it is.
     pub fn reload(&self, terms: &ApplicationTerms) {
         self.pool.borrow_mut().set(self.now(), &terms.addresses);
+        self.pool.borrow_mut().processes(terms.processes);
         *self.terms.borrow_mut() = terms.clone();
     }
 
+    /// So many processes send to them, as the fleet has it. What the operator states is the least: a part of the fleet that hears
+    /// no other takes itself for the whole.
+    pub fn processes(&self, count: usize) {
+        let stated = self.terms.borrow().processes;
+        self.pool.borrow_mut().processes(stated.max(u32::try_from(count).unwrap_or(u32::MAX)));
+    }
+
     /// What is seen of each application is passed on; what others saw comes back: evidence needed, and by when a cooldown ends.
     pub fn watch(&self, see: See<'_>) {
         let now = self.now();
@@ -159,7 +171,7 @@
             if let Some(result) = result {
                 return result;
             }
-            proven &= end == End::Unstarted;
+            proven &= end.is_unstarted();
             let due = self.clock.at(job.due);
             if !self.pool.borrow_mut().repeats(self.now(), end, job.idempotent, made, due) {
                 return if proven { RunEnd::Unstarted(Duration::ZERO) } else { RunEnd::Error };
@@ -194,7 +206,12 @@
             Ok(_) => (End::Failed, None),
             Err(why) => {
                 note!("application {address}: {why}");
-                (if left.get() { End::Broken } else { End::Unstarted }, None)
+                let end = match left.get() {
+                    true => End::Broken,
+                    false if why.kind() == io::ErrorKind::ConnectionRefused => End::Refused,
+                    false => End::Unstarted,
+                };
+                (end, None)
             }
         };
         out.end = end;
--- a/crates/coralstep-terms/src/site.rs
+++ b/crates/coralstep-terms/src/site.rs
@@ -361,6 +361,13 @@
     /// After its return an application gets its whole share only after so long, in milliseconds.
     #[serde(default = "slow_start")]
     pub slow_start_ms: u32,
+    /// Attempts a second that an application takes when it has just come back, from all processes together; up to tenfold by the end of
+    /// the slow start. 0 leaves it to the part of its share. 0 to 1000000.
+    #[serde(default)]
+    pub cold_rate: f64,
+    /// How many processes like this one send to these applications; with a fleet, the least to be reckoned with. 1 to 100000.
+    #[serde(default = "one")]
+    pub processes: u32,
     /// The longest result, in KB.
     #[serde(default = "body")]
     pub result_kb: u32,
@@ -382,6 +389,10 @@
     3
 }
 
+fn one() -> u32 {
+    1
+}
+
 fn slow_start() -> u32 {
     10_000
 }
@@ -582,6 +593,8 @@
         within("applications.repeats", self.repeats, 0.0, 1.0)?;
         within("applications.attempts", self.attempts, 1, 10)?;
         within("applications.slow_start_ms", self.slow_start_ms, 0, 600_000)?;
+        within("applications.cold_rate", self.cold_rate, 0.0, 1e6)?;
+        within("applications.processes", self.processes, 1, 100_000)?;
         within("applications.result_kb", self.result_kb, 1, 1_024)
     }
 }
