What is read is answered before its connection ends; idle clients make way at once

At fault: `Inbox::more` yielded between the read and the decoding, so the end of the connection came in between and found nothing open. It yields before the read now.

Who was let in less than 50 ms ago is no longer taken for a silent client: at EMFILE the newest was shed before its first word was read. Nobody is shed for nobody. `Engine::ask` took a link for deaf at the first tick after a pause of the process, while the answer lay unread; it waits for the second.

--- a/crates/coralstep-server/src/callers/connection.rs
+++ b/crates/coralstep-server/src/callers/connection.rs
@@ -41,6 +41,8 @@
     lost: Cell<bool>,
     /// Nothing more is begun for it.
     ending: Cell<bool>,
+    /// All was written, and it is half-closed.
+    lingers: Cell<bool>,
     going: Event,
     /// Since when it carries nothing.
     pub idle: Cell<Instant>,
@@ -60,6 +62,7 @@
             proven: Cell::new(false),
             lost: Cell::new(false),
             ending: Cell::new(false),
+            lingers: Cell::new(false),
             going: Event::new(),
             idle: Cell::new(Instant::now()),
             asked: Cell::new(None),
@@ -83,6 +86,11 @@
         self.ending.get() || self.lost.get()
     }
 
+    /// Whether it is only kept for what its caller may still send or read.
+    pub fn lingers(&self) -> bool {
+        self.lingers.get() && !self.lost.get()
+    }
+
     /// A whole message came.
     pub fn heard(&self) {
         self.idle.set(Instant::now());
@@ -191,6 +199,7 @@
 
     /// What comes from now on was never read: it is thrown away, and its caller sees the end of the connection in place of an answer.
     async fn linger(&self, mut stream: &Async<TcpStream>) {
+        self.lingers.set(true);
         if stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
         }
@@ -209,6 +218,6 @@
         let late = async {
             Timer::after(span).await;
         };
-        read.or(late).await;
+        read.or(late).or(self.lost()).await;
     }
 }
--- a/crates/coralstep-server/src/callers/connections.rs
+++ b/crates/coralstep-server/src/callers/connections.rs
@@ -23,6 +23,8 @@
 
 /// Pause where nobody can be accepted, unless a place comes free sooner.
 const FULL: Duration = Duration::from_millis(100);
+/// Who was let in so lately may not have had the time for a first word.
+const FRESH: Duration = Duration::from_millis(50);
 /// Between two looks at idle connections; the shortest limit is longer.
 const SWEEP: Duration = Duration::from_millis(100);
 /// A caller asked to leave that still holds an idle connection open is left after so long.
@@ -142,18 +144,21 @@
             // Nobody is shed for nobody.
             listener.readable().await?;
             let left = self.left.listen();
-            if self.staying() >= most {
-                self.shed();
-            }
-            if self.count() >= most {
-                left.or(after(FULL)).await;
+            // Those that linger have all their answers on the way: the first of them goes now.
+            let lingers = self.all.borrow().iter().find(|one| one.lingers()).cloned();
+            match lingers {
+                Some(lingers) => lingers.lose(),
+                None if self.staying() >= most => drop(self.shed()),
+                None => {}
             }
+            left.or(after(FULL)).await;
         }
         Ok(())
     }
 
     /// Ends the connection that is missed least: guards against silent clients that lock gateways out. First one that
-    /// never said anything, else one that carries nothing, each for the longest time; `false` where all carry something.
+    /// never said anything, else one that carries nothing, else one that had hardly the time to, each for the longest time;
+    /// `false` where all carry something.
     /// Of the silent ones, the front that has most gives one up: guards against a flood at one that leaves callers of
     /// another no time for their first word.
     fn shed(&self) -> bool {
@@ -163,9 +168,11 @@
             let of = all.iter().filter(free).filter(|one| !one.spoke.get());
             of.filter(|one| Rc::ptr_eq(one.front(), front)).count()
         };
+        let now = Instant::now();
         let least = all.iter().filter(free).min_by_key(|one| {
             let spoke = one.spoke.get();
-            (spoke, Reverse(if spoke { 0 } else { silent(one.front()) }), one.idle.get())
+            let fresh = !spoke && now.saturating_duration_since(one.idle.get()) < FRESH;
+            (fresh, spoke, Reverse(if spoke { 0 } else { silent(one.front()) }), one.idle.get())
         });
         // Who never said anything is told nothing: its descriptor comes free at once.
         least
--- a/crates/coralstep-server/src/callers/connections/tests.rs
+++ b/crates/coralstep-server/src/callers/connections/tests.rs
@@ -35,12 +35,16 @@
 #[test]
 fn who_never_spoke_makes_room_first_and_who_carries_something_never() {
     let connections = connections();
-    let some = some(&connections, 4);
+    let some = some(&connections, 5);
     let (busy, longest, idle, silent) = (&some[0], &some[1], &some[2], &some[3]);
     busy.begins();
     [busy, longest, idle].iter().for_each(|one| one.spoke.set(true));
     idle.idle.set(longest.idle.get() + Duration::from_millis(1));
-    for next in [silent, longest, idle] {
+    // It has had the time to say something; one that came just now hardly had, and goes after those that rest.
+    silent.idle.set(longest.idle.get() - FRESH);
+    let fresh = &some[4];
+    fresh.idle.set(longest.idle.get() + Duration::from_secs(1));
+    for next in [silent, longest, idle, fresh] {
         assert!(!next.is_ending() && connections.shed() && next.is_ending());
     }
     assert!(!connections.shed() && !busy.is_ending());
--- a/crates/coralstep-server/src/callers/inbox.rs
+++ b/crates/coralstep-server/src/callers/inbox.rs
@@ -57,6 +57,9 @@
         mut stream: &Async<TcpStream>,
         connection: &Connection,
     ) -> Result<Came, String> {
+        // Guards against a caller that always has more to read: others and the timers come in between. Before the read, not behind it:
+        // what is read is seen to at once, so that nothing lies here read and unanswered when its connection is ended.
+        yield_now().await;
         if self.filled == self.bytes.len() {
             self.bytes.resize(2 * self.filled, 0);
         }
@@ -85,8 +88,6 @@
                 return Err(why.to_string());
             }
         }
-        // Guards against a caller that always has more to read: others and the timers come in between.
-        yield_now().await;
         Ok(Came::More)
     }
 }
--- a/crates/coralstep-server/src/runs/engine.rs
+++ b/crates/coralstep-server/src/runs/engine.rs
@@ -68,6 +68,8 @@
     spoke: bool,
     /// The place of the question for gauges that is open, and since when.
     asked: Option<(u64, Instant)>,
+    /// That was found to be long at the last tick.
+    late: bool,
     /// What was sent before this place has been read: a later question was answered.
     read: u64,
     /// Runs whose commands wait until all that was sent is known to be read.
@@ -197,8 +199,13 @@
         if let Some(link) = self.link.borrow_mut().as_mut().filter(|link| link.ready) {
             match link.asked {
                 None => link.ask(),
-                // Guards against a link that looks alive and isn't read any more: all commands would wait for it.
-                Some((_, since)) if since.elapsed() > DEAF => link.out.close(),
+                // Guards against a link that looks alive and isn't read any more: all commands would wait for it. At the second tick:
+                // after a pause of the process the answer lies unread at the first.
+                Some((_, since)) if since.elapsed() > DEAF => {
+                    if std::mem::replace(&mut link.late, true) {
+                        link.out.close();
+                    }
+                }
                 Some(_) => {}
             }
             self.settle_doubts(link);
@@ -369,6 +376,7 @@
             ready: false,
             spoke: false,
             asked: None,
+            late: false,
             read: 0,
             waiting: Vec::new(),
         });
@@ -442,6 +450,7 @@
             }
             ["STATS", _, ref gauges @ ..] => {
                 if let Some(link) = self.link.borrow_mut().as_mut() {
+                    link.late = false;
                     link.read = link.asked.take().map_or(link.read, |(place, _)| place);
                     self.more.notify(1);
                 }
--- a/crates/coralstep-server/tests/stand_ins/mod.rs
+++ b/crates/coralstep-server/tests/stand_ins/mod.rs
@@ -386,6 +386,14 @@
         }
     }
 
+    /// Answers questions for gauges until one comes after all that was sent before: it was read by then.
+    pub fn caught_up_to_gauges(&mut self) {
+        for _ in 0..2 {
+            let line = self.line();
+            assert!(self.gauges(&line, "0.5 1 0.1 3"), "{line}");
+        }
+    }
+
     fn gauges(&mut self, line: &str, gauges: &str) -> bool {
         let Some(tag) = line.strip_prefix("STAT ") else { return false };
         self.send(&format!("STATS {tag} {gauges}\r\n"));
@@ -485,6 +493,23 @@
         })
     }
 
+    /// Goes on by itself until the link ends; `run` does what is to be done with each run, by its number and id.
+    pub fn go_on_with(
+        mut self,
+        mut run: impl FnMut(u64, &str, &mut Lines) + Send + 'static,
+    ) -> JoinHandle<u64> {
+        std::thread::spawn(move || {
+            let mut runs = 0;
+            while let Some((head, _)) = self.next("0.5 1 0.1 3") {
+                if let Some(of) = head.strip_prefix("RUN ") {
+                    runs += 1;
+                    run(runs, of.split(' ').next().unwrap(), &mut self);
+                }
+            }
+            runs
+        })
+    }
+
     /// Whether the far side ends the link, with nothing more to read.
     pub fn ended(&mut self) -> bool {
         matches!(self.0.read(&mut [0]), Ok(0))
@@ -505,6 +530,11 @@
     }
 }
 
+/// The time, as a stamp.
+pub fn now_ms() -> String {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis().to_string()
+}
+
 /// The i-th id.
 pub fn id(index: u64) -> String {
     format!("{:016x}", 0x9b1f_03aa_5c7e_0000 + index)
@@ -540,6 +570,11 @@
         self.stream.write_all(bytes).unwrap();
     }
 
+    /// Whether the connection still takes it.
+    pub fn try_write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
     /// The next call gets the number of the last one.
     pub fn again(&mut self) {
         self.seq -= 1;
@@ -586,7 +621,7 @@
     }
 
     fn invocation(&mut self, method: &str, id: &str, body: &[u8], more: &[(&str, &str)]) -> Vec<u8> {
-        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis().to_string();
+        let since = now_ms();
         let fields = [
             ("service", method),
             ("ref", id),
