--- a/crates/coralstep-pool/src/lib.rs
+++ b/crates/coralstep-pool/src/lib.rs
@@ -341,7 +341,9 @@
             return false;
         }
         let warm = self.warm(now, None);
-        warm.is_none_or(|warm| self.load(now, slot) <= self.load(now, warm)) && self.lets(now, slot)
+        // By what is in hand alone: it is slower while it is cold, and would get nothing where little is in hand.
+        let in_hand = |slot: u32| self.apps[slot as usize].as_ref().map_or(0, |app| app.in_hand);
+        warm.is_none_or(|warm| in_hand(slot) <= in_hand(warm)) && self.lets(now, slot)
     }
 
     fn lets(&mut self, now: Time, slot: u32) -> bool {
--- a/crates/coralstep-pool/tests/ramp.rs
+++ b/crates/coralstep-pool/tests/ramp.rs
@@ -106,6 +106,22 @@
     }
 }
 
+#[test]
+fn one_that_is_slower_while_it_is_cold_still_gets_its_part() {
+    let (mut pools, from) = served(1, terms(0.0, 1), 5);
+    let mut came = 0;
+    // Nothing is in hand at any of them when the next attempt comes.
+    for at in 0..2_000 {
+        let now = Time(from + 5 * SECOND + at * 10);
+        let pick = pools[0].choose(now, None).unwrap();
+        let back = *pools[0].key(&pick) == "back";
+        came += u32::from(back);
+        pools[0].ended(now + Span(if back { 9 } else { 1 }), pick, End::Answered);
+    }
+    // Half of a quarter at first, three quarters of it at the end.
+    assert!((200..=450).contains(&came), "{came}");
+}
+
 #[test]
 fn a_cold_rate_holds_for_all_processes_together() {
     for processes in [1, 5, 20, 30] {
--- a/crates/coralstep-server/src/base/config.rs
+++ b/crates/coralstep-server/src/base/config.rs
@@ -25,7 +25,7 @@
 const SOCKETS_CALLS: usize = 4;
 const SOCKETS_CALLS_MOST: usize = 2;
 /// Part of the callers' connections that may be there beyond their bound, while others leave.
-const SPARE: usize = 16;
+const SPARE: usize = 32;
 /// The notice to leave, where none is stated.
 const STOP_MS: u64 = 3_000;
 /// Bytes that any connection takes: what is read of it and about it, mostly less than a frame.
@@ -62,7 +62,8 @@
         let connections = (memory / 4 / CONNECTION_BYTES).min(sockets.saturating_sub(calls)).max(2);
         let spare = (connections / SPARE).max(1);
         Limits {
-            connections: connections - spare,
+            // Some that leave, and some that all came while none could be let go.
+            connections: connections.saturating_sub(2 * spare).max(2),
             spare,
             answers: memory / 8,
             rpcs: (memory / 4 / RPC_BYTES).max(256),
--- a/crates/coralstep-server/src/callers/connections.rs
+++ b/crates/coralstep-server/src/callers/connections.rs
@@ -103,7 +103,7 @@
                 Err(io::ErrorKind::Interrupted.into())
             };
             let accept = async {
-                self.place(&listener).await?;
+                self.place(&listener, &front).await?;
                 listener.accept().await
             };
             match accept.or(stop).await {
@@ -127,28 +127,37 @@
         }
     }
 
-    fn count(&self) -> usize {
-        self.all.borrow().len()
-    }
-
     /// Those that are not on their way out.
     fn staying(&self) -> usize {
         self.all.borrow().iter().filter(|one| !one.is_ending()).count()
     }
 
+    /// Whether a listener of `front` has to wait: as many of its own still leave as may, or all who stay carry something.
+    fn is_full(&self, front: &Rc<dyn Front>) -> bool {
+        let all = self.all.borrow();
+        let leave = all.iter().filter(|one| one.is_ending() && Rc::ptr_eq(one.front(), front)).count();
+        leave >= self.limits.spare || all.iter().filter(|one| !one.is_ending()).count() >= self.most()
+    }
+
+    fn most(&self) -> usize {
+        self.limits.connections + self.limits.spare
+    }
+
     /// Ends when one more may be accepted. Guards against callers who wait to be let in and take the descriptors of those who still
-    /// leave, and then the server's own.
-    async fn place(&self, listener: &Async<TcpListener>) -> io::Result<()> {
-        let most = self.limits.connections + self.limits.spare;
-        while self.count() >= most {
+    /// leave, and then the server's own. Those of one front hold up no other.
+    async fn place(&self, listener: &Async<TcpListener>, front: &Rc<dyn Front>) -> io::Result<()> {
+        while self.is_full(front) {
             // Nobody is shed for nobody.
             listener.readable().await?;
             let left = self.left.listen();
+            if !self.is_full(front) {
+                break;
+            }
             // Those that linger have all their answers on the way: the first of them goes now.
             let lingers = self.all.borrow().iter().find(|one| one.lingers()).cloned();
             match lingers {
                 Some(lingers) => lingers.lose(),
-                None if self.staying() >= most => drop(self.shed()),
+                None if self.staying() >= self.most() => drop(self.shed()),
                 None => {}
             }
             left.or(after(FULL)).await;
