--- a/crates/coralstep-server/src/callers/said.rs
+++ b/crates/coralstep-server/src/callers/said.rs
@@ -3,12 +3,15 @@
 
 use coralstep::Span;
 
+use crate::decisions::facade::UNREAD;
+
 /// The most that one RPC may be said to book, in KB.
 pub const ROOM_MOST: f64 = 2_000.0;
 /// The longest token: kept for as long as the window, so it is bounded more closely than a message.
 pub const TOKEN_MOST: usize = 256;
 /// The age of a request may be anything up to this; what is older, nobody waits for. A machine's pause is shorter.
-pub const AGE_MOST: Span = Span::ms(60_000);
+/// What a token is remembered for goes by it.
+pub const AGE_MOST: Span = UNREAD;
 /// How far ahead of ours the clock of a sender's stamps may be.
 pub const AHEAD_MOST: Duration = Duration::from_millis(500);
 /// The longest patience that a caller may state, in milliseconds: an hour.
--- a/crates/coralstep-server/src/decisions/facade.rs
+++ b/crates/coralstep-server/src/decisions/facade.rs
@@ -27,7 +27,7 @@
 const CALLED: usize = 64;
 
 /// Tokens that ran and are no longer kept are remembered for as long as a try of them may lie unread, one for so many ids known.
-const UNREAD: Span = Span::ms(60_000);
+pub const UNREAD: Span = Span::ms(60_000);
 const TOKENS_PAST: usize = 4;
 
 /// Says for how long nothing is to be admitted.
--- a/crates/coralstep-server/tests/close.rs
+++ b/crates/coralstep-server/tests/close.rs
@@ -95,7 +95,13 @@
 
 #[test]
 fn a_caller_that_has_closed_is_found_and_its_run_given_up() {
-    let (rig, mut engine) = Rig::ready();
+    // Due long after the test's patience: nothing else stops the run.
+    let rig = Rig::settings(&stand_ins::SETTINGS.replacen(
+        "\"deadline\":4000000000",
+        "\"deadline\":60000000000",
+        1,
+    ));
+    let mut engine = rig.engine(0, "old 3600000");
     let mut gate = rig.gate();
     gate.invoke("read", &id(1), b"", &[]);
     engine.expect_run(&id(1), "read");
@@ -152,6 +158,22 @@
     assert_eq!(rig.store().command().1, b"mine");
 }
 
+#[test]
+fn a_pause_while_the_engines_answer_lies_unread_costs_no_link() {
+    let (rig, mut engine) = Rig::ready();
+    assert_eq!(engine.line(), "STAT gauges");
+    rig.signal("STOP");
+    engine.send("STATS gauges 0.5 1 0.1 3\r\n");
+    // Longer than a question may stay open.
+    sleep(Duration::from_millis(2_500));
+    rig.signal("CONT");
+    let mut gate = rig.gate();
+    let seq = gate.invoke("pay", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "pay");
+    engine.done(1, &id(1), "good", "");
+    assert_eq!(gate.said(), ok(seq, ""));
+}
+
 #[test]
 fn a_link_that_is_ended_before_a_word_is_made_anew_less_and_less_often() {
     let rig = Rig::start();
