Settings and events of further operators: each read, refused by key, and tested; due times as they came

Checked against the wire, key by key. New: `feedback.how` and `domain.passes_deadline` are read, and one that is unknown is refused with its key; neither changes a term, for the one goes to callers alone and the other says only what each RPC shows.

--- a/crates/coralstep-adapter/src/tests.rs
+++ b/crates/coralstep-adapter/src/tests.rs
@@ -83,3 +83,23 @@
         Err("line 3: the clock went back from 5 to 4".to_owned())
     );
 }
+
+/// The module gets the due time of each RPC as it came; gauges that stop, and tenants that nobody named at the start, end nothing.
+#[test]
+fn due_times_and_what_is_missing_are_passed_on_as_they_are() {
+    let rpc = |handle: u32, rest: &str| {
+        format!("INBOUND server=server/3 handle={handle} type=read footprint=9 {rest}\n")
+    };
+    let wait = "EOF_BATCH\nMARK ts=1952000000\nREMINDER server=server/3 name=beat load=,\nEOF_BATCH\n";
+    let aborted = |rest: &str| {
+        let (result, output) = after_boot(&format!("{}{wait}", rpc(5, rest)));
+        assert_eq!(result, Ok(()));
+        assert!(output.contains("ADMIT server=server/3 handle=5\n"), "{output}");
+        output.contains("SURRENDER server=server/3 handle=5\n")
+    };
+    // 950 ms pass: one that is due after a second is answered early, within its slack, one that says nothing is not due yet.
+    assert!(aborted("due=2000000000"));
+    assert!(!aborted("due=2100000000") && !aborted("due=0") && !aborted("user_group=nobody"));
+    let (result, _) = after_boot(&rpc(6, "due=soon"));
+    assert_eq!(result, Err("line 5: due=soon is no proper value".to_owned()));
+}
--- a/crates/coralstep-terms/src/lib.rs
+++ b/crates/coralstep-terms/src/lib.rs
@@ -179,6 +179,12 @@
         "off" | "" => Preemption::Off,
         other => return Err(format!("domain.preemption={other} is unknown")),
     };
+    // Each RPC that carries its due time is decided by it, each other by its method's deadline, whatever is said here.
+    conf.flag("domain.passes_deadline")?;
+    // It goes to callers alone; what is unknown there is a setting of another program.
+    if !matches!(conf.text("feedback.how"), "inline" | "on_probe" | "off" | "") {
+        return Err(format!("feedback.how={} is unknown", conf.text("feedback.how")));
+    }
     let mut names = Names {
         gauges: conf.text("domain.gauges").split(',').map(str::to_owned).collect(),
         ..Names::default()
--- a/crates/coralstep-terms/src/tests.rs
+++ b/crates/coralstep-terms/src/tests.rs
@@ -38,3 +38,29 @@
     }
     assert_eq!(from_json(&Value::Null).err().as_deref(), Some("settings: not an object"));
 }
+
+/// What further operators set: without it, with it, and out of range.
+#[test]
+fn each_setting_is_read_where_it_is_there_and_named_where_it_is_at_fault() {
+    let read = |path: &str, value: &str| from_pairs([(path, value)].into_iter()).map(|(terms, _)| terms);
+    let without = read("unheard", "1").unwrap();
+    assert_eq!((without.advert, without.preemption), (Advert::Off, Preemption::Off));
+    assert!(without.tenant_rates.is_empty() && without.methods.is_empty());
+    assert_eq!(read("domain.advert", "level").unwrap().advert, Advert::Level);
+    assert_eq!(read("domain.preemption", "pause").unwrap().preemption, Preemption::Pause);
+    assert_eq!(read("domain.preemption", "off").unwrap().preemption, Preemption::Off);
+    // How callers hear of the load, and whether they say how long they wait, changes no term.
+    let plain = [("feedback.how", "on_probe"), ("feedback.how", "off"), ("domain.passes_deadline", "true")];
+    for (path, value) in plain {
+        assert_eq!(format!("{:?}", read(path, value).unwrap()), format!("{without:?}"));
+    }
+    for (path, value, why) in [
+        ("domain.passes_deadline", "soon", "domain.passes_deadline=soon is neither 1 nor 0"),
+        ("domain.advert", "0.5", "domain.advert=0.5 is unknown"),
+        ("domain.preemption", "stop", "domain.preemption=stop is unknown"),
+        ("feedback.how", "probe", "feedback.how=probe is unknown"),
+        ("realms.count", "few", "realms.count=few is no proper value"),
+    ] {
+        assert_eq!(read(path, value).err().as_deref(), Some(why));
+    }
+}
--- a/crates/coralstep/tests/scenarios.rs
+++ b/crates/coralstep/tests/scenarios.rs
@@ -106,7 +106,21 @@
             "key" => terms.key_kb = number(value),
             "crowd" => terms.survivable_crowd = number(value),
             "grace" => terms.drain_grace = ms(value),
-            "advert" => terms.advert = if value == "weight" { Advert::Weight } else { Advert::Off },
+            "advert" => {
+                terms.advert = match value {
+                    "weight" => Advert::Weight,
+                    "level" => Advert::Level,
+                    "credit" => Advert::Credit,
+                    _ => Advert::Off,
+                }
+            }
+            "preemption" => {
+                terms.preemption = match value {
+                    "drop" => Preemption::Drop,
+                    "pause" => Preemption::Pause,
+                    _ => Preemption::Off,
+                }
+            }
             "idle" => terms.caller_idle = ms(value),
             "linger" => terms.linger = ms(value),
             "cold" => {
@@ -186,8 +200,14 @@
                 let held_kb = pairs.get("kb").map_or(10.0, |kb| number(kb));
                 let retry = words.contains(&"retry");
                 let claimed = words.contains(&"claimed");
+                // From its arrival; before it where that is below 0.
+                let due = pairs.get("due").map(|due| match due.strip_prefix('-') {
+                    Some(ago) => now - age - ms(ago),
+                    None => now - age + ms(due),
+                });
+                let id = id();
                 let arrival =
-                    Arrival { id: id(), method, age, claimed, prior, held_kb, retry, ..Arrival::default() };
+                    Arrival { id, method, due, age, claimed, prior, held_kb, retry, ..Arrival::default() };
                 server.rpc(now, arrival, out);
             }
             "settled" => server.settled(now, id(), outcome(words[2]), out),
