What is due, or would likely end only when it is, is given up at once while others could use the cores

The module held and began work by its target alone (choice.rs, Server::check and Guard::enter looked at the due time only to answer by it), and an RPC that was due when it was read was run. It now gives up at once what is due, and what would by the middle run of its method end only when it is; on idle cores that is tried, so that a method that was slow once is seen to be quick again (else it could be shut out until its histogram fades, over a minute). Assumption that did not carry over: callers wait longer than the target.

--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -46,6 +46,14 @@
         }
     }
 
+    /// Due, or likely to end only when it is, while others could use the cores. Guards against work that nobody waits
+    /// for any more; on idle cores it is tried, so that a method that was slow once is seen to be quick again.
+    fn vain(&self, rpc: &Rpc) -> bool {
+        let idle = self.count(Place::Running) < self.cores;
+        let takes = if idle { Span::ZERO } else { self.runs[rpc.method].middle(Span::ZERO) };
+        self.now + EARLY.max(takes) >= rpc.due
+    }
+
     /// The usual time on the cores.
     fn run_time(&self, rpc: &Rpc) -> Span {
         self.runs[rpc.method].mean(GUESS)
@@ -141,7 +149,8 @@
         let late = self.noticed.is_some_and(|noticed| rpc.arrived + BEAT > noticed + self.grace);
         let leaving = late || stalled || self.stopping(site.now);
         let shed = site.level.sheds(&site.method(rpc)).then_some(site.level.back.max(ADVICE));
-        if leaving || shed.is_some() || site.used_kb > site.memory_kb * MEMORY_HOLD {
+        let vain = site.get(id).is_some_and(|rpc| site.vain(rpc));
+        if leaving || vain || shed.is_some() || site.used_kb > site.memory_kb * MEMORY_HOLD {
             site.push_back(id, if leaving { AWAY_ADVICE } else { shed.unwrap_or(ADVICE) }, out);
         }
     }
@@ -472,7 +481,7 @@
         match rpc.place {
             Place::Held if leaving => self.site.push_back(id, AWAY_ADVICE, out),
             Place::Held if self.site.under(rpc).sheds(&method) => self.site.push_back(id, back, out),
-            Place::Held if due || Hold::part(&self.site, rpc) >= 1.0 => {
+            Place::Held if self.site.vain(rpc) || Hold::part(&self.site, rpc) >= 1.0 => {
                 // What must call is told when the breaker may let it through.
                 let must = method.calls && method.skip == 0.0;
                 let shut = self.breaker.shut(now).filter(|left| must && *left > ADVICE);
