Idle connections close sooner beyond two for each RPC that may be begun, not beyond 16 a core

Their tables take 30 to 64 connections a core, hundreds of callers with little traffic keep one to each server, and a new one costs 25 to 50 ms of work. So the full table costs more than the handshakes that keeping idle connections spares. Assumption that did not carry over: a table of 16 a core and more (constants.rs, CONNECTIONS). It follows the settings now: two connections for each RPC that may be begun at once (choice.rs, Server::make_room); a cold server keeps fewer.

--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -576,7 +576,7 @@
         let tries = &mut self.site.tries;
         let storm = tries.ok < tries.asked * STORM;
         (tries.asked, tries.ok) = (tries.asked * 0.9, tries.ok * 0.9);
-        let full = open > self.site.cores as f64 * CONNECTIONS && !storm;
+        let full = open > self.cores.ceiling(&self.site) as f64 * CONNECTIONS && !storm;
         let more = if storm { 1.5 } else { 1.05 };
         let step = if full { 0.8 } else { more };
         let idle = self.idle.share(step).max(REVIEW).min(self.max_idle);
--- a/crates/coralstep/src/constants.rs
+++ b/crates/coralstep/src/constants.rs
@@ -60,8 +60,8 @@
 pub const WORST_BAND: f64 = 0.1;
 /// What a further try is worth beside a first one: its client has waited already, for how long nobody says.
 pub const RETRIED: f64 = 0.25;
-/// Open connections a core beyond which idle ones close sooner: several for each RPC it can have in hand.
-pub const CONNECTIONS: f64 = 16.0;
+/// Open connections for each RPC that may be begun beyond which idle ones close sooner: one at work, one on its way.
+pub const CONNECTIONS: f64 = 2.0;
 /// Part of the tries read that are begun below which more connections only bring more pushbacks.
 pub const STORM: f64 = 0.2;
 /// RPCs for each core that callers together may have here, where the free value is a credit.
