--- a/crates/coralstep/src/choice.rs
+++ b/crates/coralstep/src/choice.rs
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Due, or likely to end only when it is, while others could use the cores. Guards against work for nobody.
-    /// On idle cores it is tried, so that a slow method is seen to be quick again.
+    /// Due, or likely to end only when it is, while others could use the cores. Guards against work
+    /// for nobody; on idle cores it is tried, so that a slow method is seen to be quick again.
     fn vain(&self, rpc: &Rpc) -> bool {
         let idle = self.count(Place::Running) < self.cores;
         let takes = if idle { Span::ZERO } else { self.runs[rpc.method].middle(Span::ZERO) };
