Show requests that are lost behind one that a client writes slowly

Cause: a message that takes over 1.5 s to be written ends the reading of its connection for good, also where the connection has been served and has requests open. It stays open until these are answered, without a word of `closing`, and what is written to it meanwhile is discarded.

Change: review/2 with its claim, its script and its check. Nothing of the program is changed.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -5,6 +5,7 @@
 //!
 //! With `TROUBLE=0` in the environment a case does the same without its disruption.
 mod case_1;
+mod case_2;
 mod engine;
 mod gateway;
 mod thrift;
@@ -32,6 +33,7 @@
     world.note(&format!("case {case}, trouble {trouble}"));
     let played = match case.as_str() {
         "1" => case_1::play(&world, trouble),
+        "2" => case_2::play(&world, trouble),
         _ => Err(format!("no case {case}")),
     };
     let (code, text) = match played {
