Show requests that run as another class after a reload, in place of a lesser case

Cause: at SIGHUP the routes of the SCGI front are resolved with the class list of the new file, while everything else keeps the list of the start. Where a class was added before others, a read is run as the class behind it.

Nothing of the program is changed.

--- a/review/stand-ins/case_2.rs
+++ b/review/stand-ins/case_2.rs
@@ -1,114 +1,138 @@
-//! Case 2: requests that are written to an open connection behind one that was written slowly are never answered.
-use std::sync::atomic::Ordering;
-use std::sync::Arc;
+//! Case 2: after a reload, requests over SCGI are run as another class.
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::engine::{Engine, Store, Work};
-use crate::gateway::{Connection, Extra, Sent};
-use crate::world::{control_plane, Server, Terms, World};
+use crate::scgi::{self, Application};
+use crate::world::{control_plane, free_address, Server, Terms, World};
 use crate::Verdict;
 
-/// Seoul's site: its classes, targets and deadlines.
-const SETTINGS: &str = r#"{"az":"gasan","classes":[
-{"name":"route-profile","idempotency":"repeatable","promise":2300000000,"deadline":8700000000,"late_worth":0.2,"window":5000000000,"worth":1.0},
-{"name":"climb-summary","idempotency":"repeatable","promise":2200000000,"deadline":7200000000,"late_worth":0.2,"window":5000000000,"worth":1.0},
-{"name":"save-ride","idempotency":"once","promise":2900000000,"deadline":12000000000,"late_worth":0.2,"window":5000000000,"worth":3.0}],
-"clients":{"marks_retry":true},
-"domain":{"advert":"weight","call_share":5.41,"caller_idle":30000000000,"callers":3,"calls_by_class":[true,false,true],"calls_over":5000000000,
-"class_skip_worth":[0.0,0.0,0.0],"cores":6,"depends_on":"shared","fresh_start":false,"gauges":["cpu_busy","runnable","mem_used","sockets"],
-"heeded":1000000000,"key_kb":133.24,"linger":200000000,"memory_kb":26622.0,"passes_deadline":false,"preemption":"drop","readiness":false,
-"real_checks":false,"run_factor":8.0,"share_for":0,"tells_gone":false},
-"goal":{"whole":0.4,"worst_class":0.35,"worst_tenant":0.1,"worst_window":0.15},"group_size":1,"over_share_worth":0.1,
-"realms":[{"name":"georeum-app","portion":0.6,"quota_rps":65.0},{"name":"jeju-tours","portion":0.4,"quota_rps":48.0}],
-"safety":{"answer_slack":100000000,"cold_from":0.22,"drain_grace":2000000000,"fall_multiple":8.0,"tip_after":3000000000,"warm_after":18000000000},
-"worth_by":"request"}"#;
+/// Seoul's classes. The file that replaces the first one has one class more: a partner's climb summaries.
+const CLASSES: [&str; 3] = ["route-profile", "climb-summary", "save-ride"];
+const LATER_CLASSES: [&str; 4] = ["route-profile", "climb-summary-hangang", "climb-summary", "save-ride"];
 
-/// The slack of the settings and the 50 ms of the sockets.
-const SLACK: Duration = Duration::from_millis(150);
-const ROUNDS: u32 = 4;
-/// How long the slow message takes to be written.
-const SLOW_WRITE: Duration = Duration::from_millis(1_800);
+const PLAY: Duration = Duration::from_secs(16);
+const RELOAD_AT: Duration = Duration::from_secs(6);
+const LIMIT: Duration = Duration::from_secs(13);
+
+fn settings(classes: &[&str]) -> String {
+    let class = |name: &&str| {
+        let (idempotency, promise, deadline, worth) = match *name {
+            "save-ride" => ("once", 2_900, 12_000, 3),
+            "route-profile" => ("repeatable", 2_300, 8_700, 1),
+            _ => ("repeatable", 2_200, 7_200, 1),
+        };
+        format!(
+            r#"{{"name":"{name}","idempotency":"{idempotency}","promise":{promise}000000,"deadline":{deadline}000000,"late_worth":0.2,"window":5000000000,"worth":{worth}.0}}"#
+        )
+    };
+    let classes: Vec<String> = classes.iter().map(class).collect();
+    format!(
+        r#"{{"az":"gasan","classes":[{}],"clients":{{"marks_retry":true}},
+"domain":{{"advert":"weight","caller_idle":30000000000,"callers":3,"cores":6,"depends_on":"off","fresh_start":false,
+"gauges":["cpu_busy","runnable","mem_used","sockets"],"memory_kb":26622.0,"run_factor":8.0,"preemption":"drop","key_kb":133.24}},
+"goal":{{"whole":1.0}},"group_size":1,"over_share_worth":0.1,
+"realms":[{{"name":"georeum-app","portion":0.6,"quota_rps":65.0}},{{"name":"jeju-tours","portion":0.4,"quota_rps":48.0}}],
+"safety":{{"answer_slack":100000000,"cold_from":0.22,"drain_grace":2000000000,"fall_multiple":8.0,"tip_after":3000000000,"warm_after":18000000000}},
+"worth_by":"request"}}"#,
+        classes.join(",")
+    )
+}
+
+#[derive(Default)]
+struct Tally {
+    answers: BTreeMap<String, u32>,
+    wrong_answers: Vec<String>,
+    unanswered: Vec<String>,
+}
 
 pub fn play(world: &Arc<World>, trouble: bool) -> Result<Verdict, String> {
-    let work = [
-        ("route-profile", Work { step: Duration::from_millis(150), calls: 1 }),
-        ("climb-summary", Work { step: Duration::from_millis(300), calls: 0 }),
-        ("save-ride", Work { step: Duration::from_millis(1_050), calls: 1 }),
+    let applications = [
+        Application::start(world, "application-0", Duration::from_millis(40)),
+        Application::start(world, "application-1", Duration::from_millis(40)),
     ];
-    let store = Store::start(world, Duration::from_millis(200));
-    let engine = Engine::start(world, "engine-0", 6, &work);
-    let terms = Terms { name: "n0", engine: engine.address, store: store.address, control: control_plane(), stop_ms: 3200, memory_mb: 192, sockets: 1024, settings: SETTINGS };
-    let mut server = Server::start(world, &terms)?;
-    std::thread::sleep(Duration::from_millis(500));
-    // The gateways' first requests show that both connections are good ones.
-    let rounds: Vec<_> = (0..ROUNDS)
-        .map(|round| {
-            let (world, address) = (world.clone(), server.address);
-            std::thread::spawn(move || {
-                std::thread::sleep(Duration::from_millis(300) * round);
-                play_round(&world, address, round, trouble)
-            })
-        })
-        .collect();
-    let (mut answered, mut lost) = (0, Vec::new());
-    for round in rounds {
-        let (of_round, lost_of_round) = round.join().map_err(|_| "a gateway failed".to_owned())??;
-        answered += of_round;
-        lost.extend(lost_of_round);
+    let front = free_address();
+    let site = format!(
+        r#"{{"scgi":{{"listen":["{front}"],"trusted":["127.0.0.0/8"],"routes":[
+{{"verb":"GET","path":"/route","method":"route-profile"}},{{"verb":"GET","path":"/climb","method":"climb-summary"}},
+{{"verb":"POST","path":"/save","method":"save-ride"}}]}},
+"applications":{{"addresses":["{}","{}"]}}}}"#,
+        applications[0].address, applications[1].address
+    );
+    let (first, later) = (settings(&CLASSES), settings(&LATER_CLASSES));
+    let terms = |settings| Terms { name: "n0", engine: free_address(), store: free_address(), control: control_plane(), stop_ms: 3200, memory_mb: 192, sockets: 1024, settings };
+    let mut server = Server::start_with_site(world, &terms(&first), &site)?;
+    let tally: Arc<Mutex<Tally>> = Arc::default();
+    let begun = Instant::now();
+    let (mut callers, mut number, mut reloaded) = (Vec::new(), 0, !trouble);
+    while begun.elapsed() < PLAY {
+        if !reloaded && begun.elapsed() >= RELOAD_AT {
+            reloaded = true;
+            // New addresses below, and one class more.
+            server.replace_configuration(world, &terms(&later));
+        }
+        number += 1;
+        let (world, tally) = (world.clone(), tally.clone());
+        callers.push(std::thread::spawn(move || call(&world, front, number, &tally)));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    for caller in callers {
+        caller.join().map_err(|_| "a caller failed".to_owned())?;
     }
     if let Ok(Some(status)) = server.child.try_wait() {
         return Err(format!("the server ended in the play: {status}"));
     }
-    let timed_out = server.log().lines().filter(|line| line.contains("connection failed") && line.contains("timed out")).count();
-    let summary = format!("{answered} requests answered, {} without an answer, {timed_out} log lines of connections timed out", lost.len());
-    Ok(if lost.is_empty() { Verdict::Held(summary) } else { Verdict::Broken(format!("{summary}: {}", lost.join(", "))) })
-}
-
-/// One connection: a save that runs for two seconds, a request that is written slowly behind it, and then three more.
-fn play_round(world: &Arc<World>, address: std::net::SocketAddr, round: u32, trouble: bool) -> Result<(u32, Vec<String>), String> {
-    let failed = |error: std::io::Error| error.to_string();
-    let mut connection = Connection::open(world, address).map_err(failed)?;
-    let mut sent: Vec<(&str, Sent, Duration)> = Vec::new();
-    let deadline = |class: &str| Duration::from_millis(match class {
-        "route-profile" => 8_700,
-        "climb-summary" => 7_200,
-        _ => 12_000,
-    });
-    let none = Extra::default();
-    let first = connection.send(world, "climb-summary", "georeum-app", b"first", &none, false).map_err(failed)?;
-    first.answer.recv_timeout(Duration::from_secs(7)).map_err(|_| "the first request had no answer".to_owned())?;
-    let save = connection.send(world, "save-ride", "georeum-app", format!("ride {round}").as_bytes(), &none, false).map_err(failed)?;
-    sent.push(("save-ride", save, deadline("save-ride")));
-    std::thread::sleep(Duration::from_millis(100));
-    let over = if trouble { SLOW_WRITE } else { Duration::ZERO };
-    let slow = connection.send_slowly(world, "climb-summary", "georeum-app", format!("slow {round}").as_bytes(), &none, over).map_err(failed)?;
-    sent.push(("climb-summary (written slowly)", slow, deadline("climb-summary")));
-    for number in 0..3 {
-        std::thread::sleep(Duration::from_millis(50));
-        let open = !connection.closed.load(Ordering::SeqCst);
-        let asked = connection.closing.load(Ordering::SeqCst);
-        if !open || asked {
-            return Err(format!("round {round}: the server closed the connection or asked to (open {open}, asked {asked})"));
-        }
-        let body = format!("route {round} {number}");
-        let request = connection.send(world, "route-profile", "jeju-tours", body.as_bytes(), &none, false).map_err(failed)?;
-        sent.push(("route-profile", request, deadline("route-profile")));
+    for line in server.log().lines().filter(|line| line.contains("reload") || line.contains("panicked")).take(12) {
+        world.note(&format!("log of n0: {line}"));
     }
-    let (mut answered, mut lost) = (0, Vec::new());
-    for (what, request, deadline) in sent {
-        let due = request.at + deadline + SLACK;
-        let left = due.saturating_duration_since(Instant::now());
-        match request.answer.recv_timeout(left) {
-            Ok((at, answer)) => {
-                answered += 1;
-                world.note(&format!("round {round}: {what} {}: {} after {} ms", request.id, answer.name(), (at - request.at).as_millis()));
+    let mut changed: BTreeMap<String, u32> = BTreeMap::new();
+    let mut runs = 0;
+    for application in &applications {
+        for asked in application.asked.lock().unwrap().iter() {
+            runs += 1;
+            let wanted = asked.body.split(' ').next().unwrap_or_default();
+            if asked.path != format!("/{wanted}") {
+                *changed.entry(format!("{wanted} run as {}", &asked.path[1..])).or_default() += 1;
             }
-            Err(error) => {
-                let closed = connection.closed.load(Ordering::SeqCst);
-                world.note(&format!("round {round}: {what} {}: no answer by {} ms after it was written ({error}); connection closed by the server: {closed}", request.id, (deadline + SLACK).as_millis()));
-                lost.push(format!("round {round} {what} {}", request.id));
+        }
+    }
+    let tally = tally.lock().unwrap();
+    let summary = format!(
+        "{number} requests, {runs} runs, answers {:?}, without an answer {}, served with the result of another class {}, changed on the way to an application: {changed:?}",
+        tally.answers, tally.unanswered.len(), tally.wrong_answers.len()
+    );
+    let holds = changed.is_empty() && tally.wrong_answers.is_empty() && tally.unanswered.is_empty();
+    Ok(if holds { Verdict::Held(summary) } else { Verdict::Broken(summary) })
+}
+
+fn call(world: &World, front: SocketAddr, number: u32, tally: &Mutex<Tally>) {
+    let (class, verb, path) = match number % 4 {
+        0 => ("save-ride", "POST", "/save"),
+        1 => ("climb-summary", "GET", "/climb"),
+        _ => ("route-profile", "GET", "/route"),
+    };
+    let id = world.new_id();
+    let body = format!("{class} {number}");
+    let headers = [("HTTP_X_REQUEST_ID", id.as_str()), ("HTTP_X_TENANT", "georeum-app")];
+    let answer = scgi::call(front, verb, path, &headers, body.as_bytes(), LIMIT);
+    let mut tally = tally.lock().unwrap();
+    match answer {
+        Ok(Some((200, result))) => {
+            *tally.answers.entry(format!("{class} 200")).or_default() += 1;
+            let result = String::from_utf8_lossy(&result).into_owned();
+            world.note(&format!("{verb} {path} {id} \"{body}\": 200 {result}"));
+            if result != format!("/{class} did \"{body}\"") {
+                tally.wrong_answers.push(id);
             }
         }
+        Ok(Some((status, _))) => {
+            *tally.answers.entry(format!("{class} {status}")).or_default() += 1;
+            world.note(&format!("{verb} {path} {id} \"{body}\": {status}"));
+        }
+        other => {
+            world.note(&format!("{verb} {path} {id} \"{body}\": no answer, {other:?}"));
+            tally.unanswered.push(id);
+        }
     }
-    Ok((answered, lost))
 }
--- a/review/stand-ins/engine.rs
+++ b/review/stand-ins/engine.rs
@@ -20,9 +20,6 @@
     calls_left: u32,
 }
 
-/// How many times the usual work a request costs whose body begins with `heavy`.
-pub const HEAVY: u32 = 11;
-
 /// How the runs of a class go: this long before each call, and at the end.
 #[derive(Clone, Copy)]
 pub struct Work {
@@ -157,7 +154,7 @@
             None if request.over => return notice(state, "DONE", &format!("{id} gone 0"), b""),
             None => {}
         }
-        let step = work.step * if body.starts_with(b"heavy") { HEAVY } else { 1 };
+        let step = work.step;
         state.runs.insert(id.to_owned(), Run { phase: Phase::Working, step, calls_left: work.calls });
         self.begun.lock().unwrap().push((id.to_owned(), request.key.clone(), Instant::now()));
         self.world.note(&format!("{} runs {id} {class} key {}", self.name, request.key.unwrap_or_default()));
--- a/review/stand-ins/gateway.rs
+++ b/review/stand-ins/gateway.rs
@@ -26,7 +26,6 @@
 pub struct Extra {
     pub key: Option<String>,
     pub again: bool,
-    pub left_ms: Option<u64>,
 }
 
 pub struct Sent {
@@ -108,9 +107,6 @@
         if let Some(key) = &extra.key {
             fields.push(("replay", key.clone()));
         }
-        if let Some(left) = extra.left_ms {
-            fields.push(("allow", left.to_string()));
-        }
         self.sequence += 1;
         let (sender, answer) = channel();
         self.pending.lock().unwrap().insert(self.sequence, (id.clone(), sender));
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -9,6 +9,7 @@
 mod case_3;
 mod engine;
 mod gateway;
+mod scgi;
 mod thrift;
 mod world;
 
--- a/review/stand-ins/world.rs
+++ b/review/stand-ins/world.rs
@@ -141,23 +141,42 @@
     pub settings: &'a str,
 }
 
+fn folder_of(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("coralstep-review-{}-{name}", std::process::id()))
+}
+
+fn configuration(terms: &Terms<'_>, address: SocketAddr) -> String {
+    let Terms { name, engine, store, control, stop_ms, memory_mb, sockets, settings } = terms;
+    format!(
+        r#"{{"name":"{name}","listen":"{address}","engine":"{engine}","control":"{control}","store":"{store}",
+"seed":"8c1f30d27a5be964","stop_ms":{stop_ms},"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
+"settings":{settings}}}"#
+    )
+}
+
 impl Server {
     /// Starts a server by the deploy file's `run` line, and waits until it answers a health check.
     pub fn start(world: &Arc<World>, terms: &Terms<'_>) -> Result<Server, String> {
-        let folder = std::env::temp_dir().join(format!("coralstep-review-{}-{}", std::process::id(), terms.name));
+        Server::start_by(world, terms, &run_line())
+    }
+
+    /// Starts a server with an operator's own file, by the `run` line and `--site`.
+    pub fn start_with_site(world: &Arc<World>, terms: &Terms<'_>, site: &str) -> Result<Server, String> {
+        let folder = folder_of(terms.name);
+        std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+        let path = folder.join("site.json");
+        std::fs::write(&path, site).map_err(|error| error.to_string())?;
+        Server::start_by(world, terms, &format!("{} --site {}", run_line(), path.display()))
+    }
+
+    fn start_by(world: &Arc<World>, terms: &Terms<'_>, command: &str) -> Result<Server, String> {
+        let (name, address, folder) = (terms.name, free_address(), folder_of(terms.name));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-        let address = free_address();
-        let Terms { name, engine, store, control, stop_ms, memory_mb, sockets, settings } = terms;
-        let config = format!(
-            r#"{{"name":"{name}","listen":"{address}","engine":"{engine}","control":"{control}","store":"{store}",
-"seed":"8c1f30d27a5be964","stop_ms":{stop_ms},"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
-"settings":{settings}}}"#
-        );
         let path = folder.join("config.json");
-        std::fs::write(&path, config).map_err(|error| error.to_string())?;
+        std::fs::write(&path, configuration(terms, address)).map_err(|error| error.to_string())?;
         let log = File::create(folder.join("log")).map_err(|error| error.to_string())?;
         let child = Command::new("/bin/sh")
-            .args(["-c", &run_line()])
+            .args(["-c", command])
             .env("RELAY_NAME", name)
             .env("RELAY_LISTEN", address.to_string())
             .env("RELAY_CONFIG", &path)
@@ -167,7 +186,7 @@
             .spawn()
             .map_err(|error| error.to_string())?;
         world.processes.lock().unwrap().push(child.id());
-        let mut server = Server { world: world.clone(), name: name.to_string(), address, child, folder };
+        let mut server = Server { world: world.clone(), name: name.to_owned(), address, child, folder };
         let begun = Instant::now();
         while begun.elapsed() < Duration::from_secs(20) {
             if let Ok(Some(status)) = server.child.try_wait() {
@@ -183,6 +202,15 @@
         Err(format!("{name} was not up after 20 s: {}", server.log()))
     }
 
+    /// Replaces the configuration file, as a whole, and sends SIGHUP.
+    pub fn replace_configuration(&self, world: &World, terms: &Terms<'_>) {
+        let (new, path) = (self.folder.join("config.new"), self.folder.join("config.json"));
+        std::fs::write(&new, configuration(terms, self.address)).expect("config.new");
+        std::fs::rename(new, path).expect("config.json");
+        world.note(&format!("the configuration of {} is replaced, SIGHUP", self.name));
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -HUP {}", self.child.id())]).status();
+    }
+
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
     }
