--- a/review/stand-ins/case_1.rs
+++ b/review/stand-ins/case_1.rs
@@ -52,15 +52,39 @@
 
 pub fn play(world: &Arc<World>, trouble: bool) -> Result<Verdict, String> {
     let work = [
-        ("route-profile", Work { step: Duration::from_millis(20), calls: 1 }),
-        ("save-ride", Work { step: Duration::from_millis(20), calls: 1 }),
+        (
+            "route-profile",
+            Work {
+                step: Duration::from_millis(20),
+                calls: 1,
+            },
+        ),
+        (
+            "save-ride",
+            Work {
+                step: Duration::from_millis(20),
+                calls: 1,
+            },
+        ),
     ];
     let store = Store::start(world, Duration::from_millis(5));
     let control = control_plane();
-    let engines: Vec<Arc<Engine>> = ["engine-0", "engine-1"].iter().map(|name| Engine::start(world, name, 12, &work)).collect();
+    let engines: Vec<Arc<Engine>> = ["engine-0", "engine-1"]
+        .iter()
+        .map(|name| Engine::start(world, name, 12, &work))
+        .collect();
     let mut servers = Vec::new();
     for (name, engine) in ["n0", "n1"].into_iter().zip(&engines) {
-        let terms = Terms { name, engine: engine.address, store: store.address, control, stop_ms: 4000, memory_mb: 32, sockets: 512, settings: SETTINGS };
+        let terms = Terms {
+            name,
+            engine: engine.address,
+            store: store.address,
+            control,
+            stop_ms: 4000,
+            memory_mb: 32,
+            sockets: 512,
+            settings: SETTINGS,
+        };
         servers.push(Server::start(world, &terms)?);
     }
     let addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
@@ -72,7 +96,9 @@
     let mut threads = Vec::new();
     for client in 0..4 {
         let (world, addresses, tally, stop) = (world.clone(), addresses.clone(), tally.clone(), stop.clone());
-        threads.push(std::thread::spawn(move || safe_requests(&world, addresses[0], &tally, &stop, client)));
+        threads.push(std::thread::spawn(move || {
+            safe_requests(&world, addresses[0], &tally, &stop, client)
+        }));
     }
     let mut bursts = BURSTS.iter().peekable();
     let mut saves = Vec::new();
@@ -103,7 +129,11 @@
         }
     }
     for (server, name) in servers.iter().zip(["n0", "n1"]) {
-        let full = server.log().lines().filter(|line| line.contains("request table full")).count();
+        let full = server
+            .log()
+            .lines()
+            .filter(|line| line.contains("request table full"))
+            .count();
         world.note(&format!("log of {name}: {full} lines 'request table full'"));
     }
     let tally = tally.lock().unwrap();
@@ -114,16 +144,31 @@
     if tally.repeats.values().sum::<u32>() < 50 {
         return Err(format!("too few repeats: {summary}"));
     }
-    Ok(if tally.refused_after_run.is_empty() { Verdict::Held(summary) } else { Verdict::Broken(summary) })
+    Ok(if tally.refused_after_run.is_empty() {
+        Verdict::Held(summary)
+    } else {
+        Verdict::Broken(summary)
+    })
 }
 
 /// A client's save: one try at the first server, and within the window a repeat there, as the client has lost the answer.
 /// A refused repeat is taken to the other server, for the refusal says that it never ran.
-fn save(world: &Arc<World>, engines: &[Arc<Engine>], addresses: &[SocketAddr], tally: &Mutex<Tally>, key: &str) -> Option<()> {
+fn save(
+    world: &Arc<World>,
+    engines: &[Arc<Engine>],
+    addresses: &[SocketAddr],
+    tally: &Mutex<Tally>,
+    key: &str,
+) -> Option<()> {
     let body = format!("ride of {key}").into_bytes();
-    let mut extra = Extra { key: Some(key.to_owned()), ..Extra::default() };
+    let mut extra = Extra {
+        key: Some(key.to_owned()),
+        ..Extra::default()
+    };
     let mut connection = Connection::open(world, addresses[0]).ok()?;
-    let sent = connection.send(world, "save-ride", "georeum-app", &body, &extra, false).ok()?;
+    let sent = connection
+        .send(world, "save-ride", "georeum-app", &body, &extra, false)
+        .ok()?;
     let answer = sent.answer.recv_timeout(ANSWER_LIMIT).ok().map(|(_, answer)| answer);
     let name = answer.as_ref().map_or("none", Answer::name);
     world.note(&format!("key {key}: first try {} at n0: {name}", sent.id));
@@ -136,7 +181,9 @@
     if connection.closing.load(Ordering::SeqCst) || connection.closed.load(Ordering::SeqCst) {
         connection = Connection::open(world, addresses[0]).ok()?;
     }
-    let again = connection.send(world, "save-ride", "georeum-app", &body, &extra, false).ok()?;
+    let again = connection
+        .send(world, "save-ride", "georeum-app", &body, &extra, false)
+        .ok()?;
     let in_window = again.at < sent.at + WINDOW;
     let answer = again.answer.recv_timeout(ANSWER_LIMIT).ok().map(|(_, answer)| answer);
     let name = answer.as_ref().map_or("none", Answer::name);
@@ -151,8 +198,14 @@
     }
     tally.lock().unwrap().refused_after_run.push(key.to_owned());
     let mut other = Connection::open(world, addresses[1]).ok()?;
-    let elsewhere = other.send(world, "save-ride", "georeum-app", &body, &extra, false).ok()?;
-    let answer = elsewhere.answer.recv_timeout(ANSWER_LIMIT).ok().map(|(_, answer)| answer);
+    let elsewhere = other
+        .send(world, "save-ride", "georeum-app", &body, &extra, false)
+        .ok()?;
+    let answer = elsewhere
+        .answer
+        .recv_timeout(ANSWER_LIMIT)
+        .ok()
+        .map(|(_, answer)| answer);
     let name = answer.as_ref().map_or("none", Answer::name);
     world.note(&format!("key {key}: taken to n1 as {}: {name}", elsewhere.id));
     if engines[1].runs_of_key(key) > 0 {
@@ -203,7 +256,9 @@
 fn bad_client(world: &Arc<World>, address: SocketAddr, tally: &Mutex<Tally>, client: usize, until: Instant) -> usize {
     // The connections come at once, but as far apart as a listener's queue wants them.
     std::thread::sleep(Duration::from_millis(client as u64));
-    let Ok(mut connection) = Connection::open(world, address) else { return 0 };
+    let Ok(mut connection) = Connection::open(world, address) else {
+        return 0;
+    };
     let mut count = 0;
     let mut keys: Vec<String> = (0..BAD_REQUESTS)
         .map(|request| format!("{:08x}{client:04x}{request:04x}", world.start.elapsed().as_millis()))
@@ -211,7 +266,10 @@
     while !keys.is_empty() {
         let mut sent = Vec::new();
         for key in std::mem::take(&mut keys) {
-            let extra = Extra { key: Some(key.clone()), ..Extra::default() };
+            let extra = Extra {
+                key: Some(key.clone()),
+                ..Extra::default()
+            };
             if let Ok(request) = connection.send(world, "save-ride", "jeju-tours", b"no ride", &extra, true) {
                 count += 1;
                 sent.push((key, request));
@@ -219,7 +277,12 @@
         }
         for (key, request) in sent {
             let answer = request.answer.recv_timeout(ANSWER_LIMIT).ok().map(|(_, answer)| answer);
-            *tally.lock().unwrap().bad.entry(answer.as_ref().map_or("none", Answer::name)).or_default() += 1;
+            *tally
+                .lock()
+                .unwrap()
+                .bad
+                .entry(answer.as_ref().map_or("none", Answer::name))
+                .or_default() += 1;
             if matches!(answer, Some(Answer::Refused(_))) && Instant::now() < until {
                 keys.push(key);
             }
--- a/review/stand-ins/case_2.rs
+++ b/review/stand-ins/case_2.rs
@@ -61,7 +61,16 @@
         applications[0].address, applications[1].address
     );
     let (first, later) = (settings(&CLASSES), settings(&LATER_CLASSES));
-    let terms = |settings| Terms { name: "n0", engine: free_address(), store: free_address(), control: control_plane(), stop_ms: 3200, memory_mb: 192, sockets: 1024, settings };
+    let terms = |settings| Terms {
+        name: "n0",
+        engine: free_address(),
+        store: free_address(),
+        control: control_plane(),
+        stop_ms: 3200,
+        memory_mb: 192,
+        sockets: 1024,
+        settings,
+    };
     let mut server = Server::start_with_site(world, &terms(&first), &site)?;
     let tally: Arc<Mutex<Tally>> = Arc::default();
     let begun = Instant::now();
@@ -83,7 +92,12 @@
     if let Ok(Some(status)) = server.child.try_wait() {
         return Err(format!("the server ended in the play: {status}"));
     }
-    for line in server.log().lines().filter(|line| line.contains("reload") || line.contains("panicked")).take(12) {
+    for line in server
+        .log()
+        .lines()
+        .filter(|line| line.contains("reload") || line.contains("panicked"))
+        .take(12)
+    {
         world.note(&format!("log of n0: {line}"));
     }
     let mut changed: BTreeMap<String, u32> = BTreeMap::new();
@@ -93,7 +107,9 @@
             runs += 1;
             let wanted = asked.body.split(' ').next().unwrap_or_default();
             if asked.path != format!("/{wanted}") {
-                *changed.entry(format!("{wanted} run as {}", &asked.path[1..])).or_default() += 1;
+                *changed
+                    .entry(format!("{wanted} run as {}", &asked.path[1..]))
+                    .or_default() += 1;
             }
         }
     }
@@ -103,7 +119,11 @@
         tally.answers, tally.unanswered.len(), tally.wrong_answers.len()
     );
     let holds = changed.is_empty() && tally.wrong_answers.is_empty() && tally.unanswered.is_empty();
-    Ok(if holds { Verdict::Held(summary) } else { Verdict::Broken(summary) })
+    Ok(if holds {
+        Verdict::Held(summary)
+    } else {
+        Verdict::Broken(summary)
+    })
 }
 
 fn call(world: &World, front: SocketAddr, number: u32, tally: &Mutex<Tally>) {
--- a/review/stand-ins/case_3.rs
+++ b/review/stand-ins/case_3.rs
@@ -31,13 +31,40 @@
 
 pub fn play(world: &Arc<World>, trouble: bool) -> Result<Verdict, String> {
     let work = [
-        ("route-profile", Work { step: Duration::from_millis(150), calls: 1 }),
-        ("climb-summary", Work { step: Duration::from_millis(300), calls: 0 }),
-        ("save-ride", Work { step: Duration::from_millis(1_050), calls: 1 }),
+        (
+            "route-profile",
+            Work {
+                step: Duration::from_millis(150),
+                calls: 1,
+            },
+        ),
+        (
+            "climb-summary",
+            Work {
+                step: Duration::from_millis(300),
+                calls: 0,
+            },
+        ),
+        (
+            "save-ride",
+            Work {
+                step: Duration::from_millis(1_050),
+                calls: 1,
+            },
+        ),
     ];
     let store = Store::start(world, Duration::from_millis(200));
     let engine = Engine::start(world, "engine-0", 6, &work);
-    let terms = Terms { name: "n0", engine: engine.address, store: store.address, control: control_plane(), stop_ms: 3200, memory_mb: 192, sockets: 1024, settings: SETTINGS };
+    let terms = Terms {
+        name: "n0",
+        engine: engine.address,
+        store: store.address,
+        control: control_plane(),
+        stop_ms: 3200,
+        memory_mb: 192,
+        sockets: 1024,
+        settings: SETTINGS,
+    };
     let mut server = Server::start(world, &terms)?;
     std::thread::sleep(Duration::from_millis(500));
     // The gateways' first requests show that both connections are good ones.
@@ -59,39 +86,84 @@
     if let Ok(Some(status)) = server.child.try_wait() {
         return Err(format!("the server ended in the play: {status}"));
     }
-    let timed_out = server.log().lines().filter(|line| line.contains("connection failed") && line.contains("timed out")).count();
-    let summary = format!("{answered} requests answered, {} without an answer, {timed_out} log lines of connections timed out", lost.len());
-    Ok(if lost.is_empty() { Verdict::Held(summary) } else { Verdict::Broken(format!("{summary}: {}", lost.join(", "))) })
+    let timed_out = server
+        .log()
+        .lines()
+        .filter(|line| line.contains("connection failed") && line.contains("timed out"))
+        .count();
+    let summary = format!(
+        "{answered} requests answered, {} without an answer, {timed_out} log lines of connections timed out",
+        lost.len()
+    );
+    Ok(if lost.is_empty() {
+        Verdict::Held(summary)
+    } else {
+        Verdict::Broken(format!("{summary}: {}", lost.join(", ")))
+    })
 }
 
 /// One connection: a save that runs for two seconds, a request that is written slowly behind it, and then three more.
-fn play_round(world: &Arc<World>, address: std::net::SocketAddr, round: u32, trouble: bool) -> Result<(u32, Vec<String>), String> {
+fn play_round(
+    world: &Arc<World>,
+    address: std::net::SocketAddr,
+    round: u32,
+    trouble: bool,
+) -> Result<(u32, Vec<String>), String> {
     let failed = |error: std::io::Error| error.to_string();
     let mut connection = Connection::open(world, address).map_err(failed)?;
     let mut sent: Vec<(&str, Sent, Duration)> = Vec::new();
-    let deadline = |class: &str| Duration::from_millis(match class {
-        "route-profile" => 8_700,
-        "climb-summary" => 7_200,
-        _ => 12_000,
-    });
+    let deadline = |class: &str| {
+        Duration::from_millis(match class {
+            "route-profile" => 8_700,
+            "climb-summary" => 7_200,
+            _ => 12_000,
+        })
+    };
     let none = Extra::default();
-    let first = connection.send(world, "climb-summary", "georeum-app", b"first", &none, false).map_err(failed)?;
-    first.answer.recv_timeout(Duration::from_secs(7)).map_err(|_| "the first request had no answer".to_owned())?;
-    let save = connection.send(world, "save-ride", "georeum-app", format!("ride {round}").as_bytes(), &none, false).map_err(failed)?;
+    let first = connection
+        .send(world, "climb-summary", "georeum-app", b"first", &none, false)
+        .map_err(failed)?;
+    first
+        .answer
+        .recv_timeout(Duration::from_secs(7))
+        .map_err(|_| "the first request had no answer".to_owned())?;
+    let save = connection
+        .send(
+            world,
+            "save-ride",
+            "georeum-app",
+            format!("ride {round}").as_bytes(),
+            &none,
+            false,
+        )
+        .map_err(failed)?;
     sent.push(("save-ride", save, deadline("save-ride")));
     std::thread::sleep(Duration::from_millis(100));
     let over = if trouble { SLOW_WRITE } else { Duration::ZERO };
-    let slow = connection.send_slowly(world, "climb-summary", "georeum-app", format!("slow {round}").as_bytes(), &none, over).map_err(failed)?;
+    let slow = connection
+        .send_slowly(
+            world,
+            "climb-summary",
+            "georeum-app",
+            format!("slow {round}").as_bytes(),
+            &none,
+            over,
+        )
+        .map_err(failed)?;
     sent.push(("climb-summary (written slowly)", slow, deadline("climb-summary")));
     for number in 0..3 {
         std::thread::sleep(Duration::from_millis(50));
         let open = !connection.closed.load(Ordering::SeqCst);
         let asked = connection.closing.load(Ordering::SeqCst);
         if !open || asked {
-            return Err(format!("round {round}: the server closed the connection or asked to (open {open}, asked {asked})"));
+            return Err(format!(
+                "round {round}: the server closed the connection or asked to (open {open}, asked {asked})"
+            ));
         }
         let body = format!("route {round} {number}");
-        let request = connection.send(world, "route-profile", "jeju-tours", body.as_bytes(), &none, false).map_err(failed)?;
+        let request = connection
+            .send(world, "route-profile", "jeju-tours", body.as_bytes(), &none, false)
+            .map_err(failed)?;
         sent.push(("route-profile", request, deadline("route-profile")));
     }
     let (mut answered, mut lost) = (0, Vec::new());
@@ -101,7 +173,12 @@
         match request.answer.recv_timeout(left) {
             Ok((at, answer)) => {
                 answered += 1;
-                world.note(&format!("round {round}: {what} {}: {} after {} ms", request.id, answer.name(), (at - request.at).as_millis()));
+                world.note(&format!(
+                    "round {round}: {what} {}: {} after {} ms",
+                    request.id,
+                    answer.name(),
+                    (at - request.at).as_millis()
+                ));
             }
             Err(error) => {
                 let closed = connection.closed.load(Ordering::SeqCst);
--- a/review/stand-ins/engine.rs
+++ b/review/stand-ins/engine.rs
@@ -155,9 +155,23 @@
             None => {}
         }
         let step = work.step;
-        state.runs.insert(id.to_owned(), Run { phase: Phase::Working, step, calls_left: work.calls });
-        self.begun.lock().unwrap().push((id.to_owned(), request.key.clone(), Instant::now()));
-        self.world.note(&format!("{} runs {id} {class} key {}", self.name, request.key.unwrap_or_default()));
+        state.runs.insert(
+            id.to_owned(),
+            Run {
+                phase: Phase::Working,
+                step,
+                calls_left: work.calls,
+            },
+        );
+        self.begun
+            .lock()
+            .unwrap()
+            .push((id.to_owned(), request.key.clone(), Instant::now()));
+        self.world.note(&format!(
+            "{} runs {id} {class} key {}",
+            self.name,
+            request.key.unwrap_or_default()
+        ));
         self.step_later(id, step);
     }
 
--- a/review/stand-ins/gateway.rs
+++ b/review/stand-ins/gateway.rs
@@ -42,8 +42,7 @@
         let (closed, closing) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
         let (ping, pings) = channel();
         let mut reading = stream.try_clone()?;
-        let (open, ended, asked, world) =
-            (pending.clone(), closed.clone(), closing.clone(), world.clone());
+        let (open, ended, asked, world) = (pending.clone(), closed.clone(), closing.clone(), world.clone());
         std::thread::spawn(move || {
             while let Some(message) = read_message(&mut reading) {
                 match message {
@@ -61,7 +60,14 @@
             ended.store(true, Ordering::SeqCst);
             open.lock().unwrap().clear();
         });
-        Ok(Connection { stream, sequence: 0, pending, closed, closing, pings })
+        Ok(Connection {
+            stream,
+            sequence: 0,
+            pending,
+            closed,
+            closing,
+            pings,
+        })
     }
 
     pub fn ping(&mut self) -> Option<bool> {
@@ -71,26 +77,66 @@
     }
 
     /// Sends a request that comes to the machine now, and tells the world (the engines) of it unless it is `unknown`.
-    pub fn send(&mut self, world: &World, class: &str, tenant: &str, body: &[u8], extra: &Extra, unknown: bool) -> std::io::Result<Sent> {
+    pub fn send(
+        &mut self,
+        world: &World,
+        class: &str,
+        tenant: &str,
+        body: &[u8],
+        extra: &Extra,
+        unknown: bool,
+    ) -> std::io::Result<Sent> {
         let (id, bytes, answer) = self.prepare(world, class, tenant, body, extra, unknown);
         self.stream.write_all(&bytes)?;
-        Ok(Sent { id, at: Instant::now(), answer })
+        Ok(Sent {
+            id,
+            at: Instant::now(),
+            answer,
+        })
     }
 
     /// Sends a request as a client that writes slowly: half of it, and the rest `over` later. Its time counts from its last byte.
-    pub fn send_slowly(&mut self, world: &World, class: &str, tenant: &str, body: &[u8], extra: &Extra, over: Duration) -> std::io::Result<Sent> {
+    pub fn send_slowly(
+        &mut self,
+        world: &World,
+        class: &str,
+        tenant: &str,
+        body: &[u8],
+        extra: &Extra,
+        over: Duration,
+    ) -> std::io::Result<Sent> {
         let (id, bytes, answer) = self.prepare(world, class, tenant, body, extra, false);
         let (first, rest) = bytes.split_at(bytes.len() / 2);
         self.stream.write_all(first)?;
         std::thread::sleep(over);
         self.stream.write_all(rest)?;
-        Ok(Sent { id, at: Instant::now(), answer })
+        Ok(Sent {
+            id,
+            at: Instant::now(),
+            answer,
+        })
     }
 
-    fn prepare(&mut self, world: &World, class: &str, tenant: &str, body: &[u8], extra: &Extra, unknown: bool) -> (String, Vec<u8>, Receiver<(Instant, Answer)>) {
+    fn prepare(
+        &mut self,
+        world: &World,
+        class: &str,
+        tenant: &str,
+        body: &[u8],
+        extra: &Extra,
+        unknown: bool,
+    ) -> (String, Vec<u8>, Receiver<(Instant, Answer)>) {
         let id = world.new_id();
         if !unknown {
-            world.came(&id, Request { class: class.to_owned(), body: body.to_vec(), key: extra.key.clone(), over: false });
+            world.came(
+                &id,
+                Request {
+                    class: class.to_owned(),
+                    body: body.to_vec(),
+                    key: extra.key.clone(),
+                    over: false,
+                },
+            );
         }
         let mut fields = vec![
             ("service", class.to_owned()),
--- a/review/stand-ins/scgi.rs
+++ b/review/stand-ins/scgi.rs
@@ -11,7 +11,10 @@
 pub fn request(headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut head = Vec::new();
     let length = body.len().to_string();
-    for (name, value) in [("CONTENT_LENGTH", length.as_str()), ("SCGI", "1")].iter().chain(headers) {
+    for (name, value) in [("CONTENT_LENGTH", length.as_str()), ("SCGI", "1")]
+        .iter()
+        .chain(headers)
+    {
         head.extend(name.as_bytes());
         head.push(0);
         head.extend(value.as_bytes());
@@ -28,7 +31,14 @@
 pub type Answer = Option<(u16, Vec<u8>)>;
 
 /// Sends a request on a connection of its own and waits for its answer.
-pub fn call(server: SocketAddr, verb: &str, path: &str, headers: &[(&str, &str)], body: &[u8], limit: Duration) -> std::io::Result<Answer> {
+pub fn call(
+    server: SocketAddr,
+    verb: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    limit: Duration,
+) -> std::io::Result<Answer> {
     let mut stream = TcpStream::connect_timeout(&server, Duration::from_secs(2))?;
     stream.set_nodelay(true)?;
     let mut all = vec![("REQUEST_METHOD", verb), ("PATH_INFO", path)];
@@ -71,11 +81,16 @@
             for stream in listener.incoming().flatten() {
                 let (log, world, name) = (log.clone(), world.clone(), name.clone());
                 std::thread::spawn(move || {
-                    let Some((headers, body)) = read_request(&stream) else { return };
+                    let Some((headers, body)) = read_request(&stream) else {
+                        return;
+                    };
                     let path = headers.get("PATH_INFO").cloned().unwrap_or_default();
                     let body = String::from_utf8_lossy(&body).into_owned();
                     world.note(&format!("{name} runs {path} for \"{body}\""));
-                    log.lock().unwrap().push(Asked { path: path.clone(), body: body.clone() });
+                    log.lock().unwrap().push(Asked {
+                        path: path.clone(),
+                        body: body.clone(),
+                    });
                     std::thread::sleep(work);
                     let result = format!("{path} did \"{body}\"");
                     let answer = format!("Status: 200 OK\r\nContent-Length: {}\r\n\r\n{result}", result.len());
@@ -100,7 +115,9 @@
     }
     let mut head = vec![0; length + 1];
     stream.read_exact(&mut head).ok()?;
-    let mut parts = head[..length].split(|byte| *byte == 0).map(|part| String::from_utf8_lossy(part).into_owned());
+    let mut parts = head[..length]
+        .split(|byte| *byte == 0)
+        .map(|part| String::from_utf8_lossy(part).into_owned());
     let mut headers = HashMap::new();
     while let (Some(name), Some(value)) = (parts.next(), parts.next()) {
         headers.insert(name, value);
--- a/review/stand-ins/world.rs
+++ b/review/stand-ins/world.rs
@@ -55,7 +55,9 @@
         std::thread::spawn(move || {
             std::thread::sleep(limit);
             for process in world.processes.lock().unwrap().iter() {
-                let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {process}")]).status();
+                let _ = Command::new("/bin/sh")
+                    .args(["-c", &format!("kill -KILL {process}")])
+                    .status();
             }
             world.note("the case took too long");
             println!("the case could not run: it took too long");
@@ -70,7 +72,10 @@
 
     /// A new id: 16 hex digits, well mixed.
     pub fn new_id(&self) -> String {
-        let mut x = self.ids.fetch_add(1, Ordering::SeqCst).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mut x = self
+            .ids
+            .fetch_add(1, Ordering::SeqCst)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15);
         x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         format!("{:016x}", x ^ (x >> 31))
@@ -146,7 +151,16 @@
 }
 
 fn configuration(terms: &Terms<'_>, address: SocketAddr) -> String {
-    let Terms { name, engine, store, control, stop_ms, memory_mb, sockets, settings } = terms;
+    let Terms {
+        name,
+        engine,
+        store,
+        control,
+        stop_ms,
+        memory_mb,
+        sockets,
+        settings,
+    } = terms;
     format!(
         r#"{{"name":"{name}","listen":"{address}","engine":"{engine}","control":"{control}","store":"{store}",
 "seed":"8c1f30d27a5be964","stop_ms":{stop_ms},"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
@@ -186,7 +200,13 @@
             .spawn()
             .map_err(|error| error.to_string())?;
         world.processes.lock().unwrap().push(child.id());
-        let mut server = Server { world: world.clone(), name: name.to_owned(), address, child, folder };
+        let mut server = Server {
+            world: world.clone(),
+            name: name.to_owned(),
+            address,
+            child,
+            folder,
+        };
         let begun = Instant::now();
         while begun.elapsed() < Duration::from_secs(20) {
             if let Ok(Some(status)) = server.child.try_wait() {
@@ -208,7 +228,9 @@
         std::fs::write(&new, configuration(terms, self.address)).expect("config.new");
         std::fs::rename(new, path).expect("config.json");
         world.note(&format!("the configuration of {} is replaced, SIGHUP", self.name));
-        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -HUP {}", self.child.id())]).status();
+        let _ = Command::new("/bin/sh")
+            .args(["-c", &format!("kill -HUP {}", self.child.id())])
+            .status();
     }
 
     pub fn log(&self) -> String {
@@ -220,7 +242,11 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.world.processes.lock().unwrap().retain(|process| *process != self.child.id());
+        self.world
+            .processes
+            .lock()
+            .unwrap()
+            .retain(|process| *process != self.child.id());
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
