--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -1,9 +1,9 @@
 //! The stand-ins of the review's cases: engine, store, control plane, gateways and other clients, each as the pages of the
 //! operators describe it, and the play of each case. Started by `review/N/run.sh` from the repository's root.
 //!
-//!     rig CASE RECORD     exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run
+//!     rig CASE RECORD TROUBLE     exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run
 //!
-//! With `TROUBLE=0` in the environment a case does the same without its disruption.
+//! TROUBLE is what the script was given in the environment, or 1. With 0 a case does the same without its disruption.
 mod case_1;
 mod case_2;
 mod case_3;
@@ -25,11 +25,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, record] = &arguments[..] else {
-        eprintln!("usage: rig CASE RECORD");
+    let [_, case, record, trouble] = &arguments[..] else {
+        eprintln!("usage: rig CASE RECORD TROUBLE");
         exit(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = trouble != "0";
     let world = world::World::new(Path::new(record));
     world.end_after(Duration::from_secs(110));
     world.note(&format!("case {case}, trouble {trouble}"));
