Serve repeats of tokened RPCs that have run while the RPC table is full

What callers saw: a tokened save had run and was served; its repeat within the window was answered Overloaded, "this try never ran", while bad clients sent hundreds of tokened requests under unknown ids.

Cause: SchedulerHandle::insert knows by the key that the RPC has run, and then fails with TableFull because the repeat needs an entry of its own in the RPC table; RequestError::reply answers that as a rejection. Ruled out: a rejection by the scheduler (deduplication comes before admission there, and a run that may have had an effect fails in place of being rejected), the table of request ids and quotas (none full or set in that case).

Change: the handler looks the key up before any limit is checked. An RPC that gets no entry is rejected only if no attempt of it is known; a repeat gets the kept result, or fails if there is none or its first attempt is still in progress (a rejection would send it to another server while that attempt runs here). This needs no entry, so no table has to be larger.

Why it holds: whoever fills the table, the answer to a known key no longer depends on a free entry.

--- a/crates/coralstep-server/src/decisions/admission.rs
+++ b/crates/coralstep-server/src/decisions/admission.rs
@@ -7,9 +7,9 @@
 
 use crate::base::clock;
 use crate::decisions::handle::SchedulerHandle;
-use crate::decisions::idempotency_keys::{IdempotencyKey, Lookup, PayloadFingerprint};
+use crate::decisions::idempotency_keys::Lookup;
 use crate::decisions::request::{
-    AdmissionError, CallOutcome, Decision, Progress, RpcRequest, RunOutcome,
+    AdmissionError, CallOutcome, Decision, EarlierAttempts, Progress, RpcRequest, RunOutcome,
 };
 use crate::decisions::rpc_table::RpcEntry;
 
@@ -48,10 +48,10 @@
 
     pub(super) fn enqueue(
         self: &Rc<Self>,
-        mut request: RpcRequest,
+        request: RpcRequest,
     ) -> Result<RequestTicket, AdmissionError> {
         self.start(None, Duration::ZERO);
-        let (id, repeat_of) = self.insert(&mut request)?;
+        let (id, repeat_of) = self.insert(&request)?;
         let scheduler_request = self.scheduler_request(&request, id, repeat_of);
         self.update_exclusion();
         self.submitted.set(self.submitted.get() + 1);
@@ -65,30 +65,38 @@
     }
 
     /// Adds an RPC to the table. Returns its id and the id of the RPC that it repeats, if any.
-    fn insert(&self, request: &mut RpcRequest) -> Result<(RpcId, Option<RpcId>), AdmissionError> {
-        let actions = &mut self.inner.borrow_mut().actions;
-        let key = request.idempotency_key.take().map(|key| IdempotencyKey {
-            method: request.method,
-            key,
-        });
-        let fingerprint = PayloadFingerprint {
-            body_digest: request.body_digest,
-            tenant: request.tenant,
-        };
-        let arrived = self.clock.now() - request.age;
-        let lookup = key.as_ref().map_or(Lookup::Unknown, |key| {
-            actions.idempotency_keys.lookup(key, fingerprint, arrived)
-        });
-        let repeat_of = match lookup {
+    fn insert(&self, request: &RpcRequest) -> Result<(RpcId, Option<RpcId>), AdmissionError> {
+        let repeat_of = match self.look_up(request) {
             Lookup::Unknown => None,
             Lookup::RepeatOf(repeated) => Some(repeated),
             Lookup::Conflict => return Err(AdmissionError::KeyConflict),
         };
-        let entry = RpcEntry::new(key, fingerprint, repeat_of);
-        let id = actions.rpcs.insert(entry)?;
+        let entry = RpcEntry::new(request.method_key(), request.fingerprint(), repeat_of);
+        let id = self.inner.borrow_mut().actions.rpcs.insert(entry)?;
         Ok((id, repeat_of))
     }
 
+    fn look_up(&self, request: &RpcRequest) -> Lookup {
+        let Some(key) = request.method_key() else {
+            return Lookup::Unknown;
+        };
+        let arrived = self.clock.now() - request.age;
+        let keys = &self.inner.borrow().actions.idempotency_keys;
+        keys.lookup(&key, request.fingerprint(), arrived)
+    }
+
+    /// Returns what is known about the earlier attempts of `request`. Unlike submitting it, this needs
+    /// no entry in the RPC table.
+    pub fn earlier_attempts(&self, request: &RpcRequest) -> EarlierAttempts {
+        let repeated = match self.look_up(request) {
+            Lookup::Unknown => return EarlierAttempts::None,
+            Lookup::RepeatOf(repeated) => repeated,
+            Lookup::Conflict => return EarlierAttempts::WithoutResult,
+        };
+        let result = self.inner.borrow().actions.rpcs.kept_result(repeated);
+        result.map_or(EarlierAttempts::WithoutResult, EarlierAttempts::Succeeded)
+    }
+
     fn scheduler_request(
         &self,
         request: &RpcRequest,
--- a/crates/coralstep-server/src/decisions/mod.rs
+++ b/crates/coralstep-server/src/decisions/mod.rs
@@ -19,5 +19,6 @@
 pub use handle::{RequestCounts, SchedulerHandle};
 pub use quota::{QuotaGuard, QuotaLimiter};
 pub use request::{
-    AdmissionError, CallOutcome, Decision, Progress, RpcRequest, RunOutcome, ServerStatus,
+    AdmissionError, CallOutcome, Decision, EarlierAttempts, Progress, RpcRequest, RunOutcome,
+    ServerStatus,
 };
--- a/crates/coralstep-server/src/decisions/quota.rs
+++ b/crates/coralstep-server/src/decisions/quota.rs
@@ -5,7 +5,6 @@
 use coralstep_quota::{QuotaExhausted, QuotaPermit, RequestKey};
 
 use crate::decisions::handle::SchedulerHandle;
-use crate::decisions::idempotency_keys::IdempotencyKey;
 use crate::decisions::request::RpcRequest;
 
 /// Grants RPCs permits of the fleet-wide quotas.
@@ -79,14 +78,8 @@
     }
 
     fn is_repeat(&self, request: &RpcRequest) -> bool {
-        let Some(key) = request.idempotency_key.clone() else {
-            return false;
-        };
-        let key = IdempotencyKey {
-            method: request.method,
-            key,
-        };
-        let inner = self.inner.borrow();
-        inner.actions.idempotency_keys.is_retained(&key)
+        let keys = &self.inner.borrow().actions.idempotency_keys;
+        let key = request.method_key();
+        key.is_some_and(|key| keys.is_retained(&key))
     }
 }
--- a/crates/coralstep-server/src/decisions/request.rs
+++ b/crates/coralstep-server/src/decisions/request.rs
@@ -4,6 +4,8 @@
 
 use coralstep::{Outcome, Span};
 
+use crate::decisions::idempotency_keys::{IdempotencyKey, PayloadFingerprint};
+
 /// An RPC as read from a client.
 #[derive(Debug, Default)]
 pub struct RpcRequest {
@@ -30,6 +32,24 @@
     pub accepts_new_id: bool,
 }
 
+impl RpcRequest {
+    /// Returns the idempotency key together with the method, or `None` without a key.
+    pub(super) fn method_key(&self) -> Option<IdempotencyKey> {
+        self.idempotency_key.clone().map(|key| IdempotencyKey {
+            method: self.method,
+            key,
+        })
+    }
+
+    /// Returns the fingerprint that is the same for all attempts of the RPC.
+    pub(super) fn fingerprint(&self) -> PayloadFingerprint {
+        PayloadFingerprint {
+            body_digest: self.body_digest,
+            tenant: self.tenant,
+        }
+    }
+}
+
 /// The next step of an RPC.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -71,6 +91,17 @@
     KeyConflict,
 }
 
+/// What is known about the earlier attempts of an RPC with an idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EarlierAttempts {
+    /// None is in progress or has run.
+    None,
+    /// One has run with this result.
+    Succeeded(Rc<[u8]>),
+    /// One is in progress or has run, and no result is available; or the key belongs to another RPC.
+    WithoutResult,
+}
+
 /// How a call to the store ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallOutcome {
--- a/crates/coralstep-server/src/decisions/rpc_table.rs
+++ b/crates/coralstep-server/src/decisions/rpc_table.rs
@@ -180,6 +180,14 @@
         self.complete_repeats(waiting, result);
     }
 
+    /// Returns the result of `id` if it has run successfully and the result was kept.
+    pub(super) fn kept_result(&self, id: RpcId) -> Option<Rc<[u8]>> {
+        match &self.entries.get(id.0 as usize)?.as_ref()?.result {
+            RunResult::Kept(result) => Some(result.clone()),
+            RunResult::Pending | RunResult::Unavailable => None,
+        }
+    }
+
     /// Completes `id` with the result of the RPC that it repeats, at once or when that RPC ends.
     pub(super) fn replay(&mut self, id: RpcId) {
         let repeated = self.get_mut(id).and_then(|entry| entry.repeat_of);
--- a/crates/coralstep-server/src/runs/request_handler.rs
+++ b/crates/coralstep-server/src/runs/request_handler.rs
@@ -16,7 +16,8 @@
 use crate::base::limits::Limits;
 use crate::base::request_id::RequestId;
 use crate::decisions::{
-    AdmissionError, Decision, QuotaGuard, RequestTicket, RpcRequest, SchedulerHandle,
+    AdmissionError, Decision, EarlierAttempts, QuotaGuard, RequestTicket, RpcRequest,
+    SchedulerHandle,
 };
 use crate::dependency::store::StoreClient;
 use crate::note;
@@ -41,17 +42,14 @@
 }
 
 impl RequestError {
-    fn reply(&self) -> Reply<'static> {
-        let retry_after_ms = match self {
+    fn reply<'a>(&self, earlier: &'a EarlierAttempts) -> Reply<'a> {
+        match self {
             RequestError::DuplicateId
             | RequestError::RunRegistered
-            | RequestError::Admission(AdmissionError::KeyConflict) => return Reply::Failed,
-            RequestError::RequestIdsFull | RequestError::Admission(AdmissionError::TableFull) => 0,
-            RequestError::Quota(QuotaExhausted { retry_after_ms }) => *retry_after_ms,
-        };
-        Reply::Rejected {
-            retry_after_ms,
-            is_final: false,
+            | RequestError::Admission(AdmissionError::KeyConflict) => Reply::Failed,
+            RequestError::Admission(AdmissionError::TableFull) => reject_unless_run(0, earlier),
+            RequestError::RequestIdsFull => reject(0),
+            RequestError::Quota(QuotaExhausted { retry_after_ms }) => reject(*retry_after_ms),
         }
     }
 
@@ -70,6 +68,24 @@
     }
 }
 
+/// Rejects an RPC of which no attempt has run; answers a repeat with the result of its earlier attempt.
+///
+/// Guards against a rejection, which promises that the RPC never ran, of one that has run.
+fn reject_unless_run(retry_after_ms: u64, earlier: &EarlierAttempts) -> Reply<'_> {
+    match earlier {
+        EarlierAttempts::None => reject(retry_after_ms),
+        EarlierAttempts::Succeeded(result) => Reply::Ok(result),
+        EarlierAttempts::WithoutResult => Reply::Failed,
+    }
+}
+
+fn reject(retry_after_ms: u64) -> Reply<'static> {
+    Reply::Rejected {
+        retry_after_ms,
+        is_final: false,
+    }
+}
+
 /// Handles RPCs of all protocols.
 pub struct RequestHandler {
     scheduler: Rc<SchedulerHandle>,
@@ -118,7 +134,7 @@
     /// `caller_disconnected` completes when the caller disconnects.
     pub async fn handle(
         &self,
-        request: RpcRequest,
+        mut request: RpcRequest,
         id: RequestId,
         body: Vec<u8>,
         caller_disconnected: impl Future<Output = ()>,
@@ -128,9 +144,14 @@
         let idempotency_key = request.idempotency_key.clone();
         let deadline = Instant::now() + self.remaining_time(&request);
         let idempotency = self.scheduler.idempotency(method);
-        let submitted = match self.admit(request, id, &body).await {
+        if request.idempotency_key.is_some() {
+            request.body_digest = self.digest_keys.hash_one(&body);
+        }
+        // Looked up before any limit is checked, since a limit must not reject a repeat.
+        let earlier = self.scheduler.earlier_attempts(&request);
+        let submitted = match self.admit(request, id).await {
             Ok(submitted) => submitted,
-            Err(error) => return reply(error.reply()),
+            Err(error) => return reply(error.reply(&earlier)),
         };
         let run_request = RunRequest {
             method: self.scheduler.method_name(method),
@@ -171,7 +192,6 @@
         &self,
         request: RpcRequest,
         id: RequestId,
-        body: &[u8],
     ) -> Result<SubmittedRpc, RequestError> {
         let claim = self
             .claim_id(&request, id)
@@ -180,7 +200,7 @@
         let run = self.register_run(id)?;
         let quota = self.acquire_quota(&request)?;
         let (ticket, first_decision) = self
-            .submit(request, body)
+            .submit(request)
             .await
             .inspect_err(|error| error.log(id))?;
         Ok(SubmittedRpc {
@@ -220,14 +240,10 @@
         Ok(self.scheduler.acquire_quota(request)?)
     }
 
-    async fn submit(
-        &self,
-        mut request: RpcRequest,
-        body: &[u8],
-    ) -> Result<(RequestTicket, Decision), RequestError> {
-        if request.idempotency_key.is_some() {
-            request.body_digest = self.digest_keys.hash_one(body);
-        }
+    async fn submit(&self, request: RpcRequest) -> Result<(RequestTicket, Decision), RequestError> {
         Ok(self.scheduler.submit(request).await?)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coralstep-server/src/runs/request_handler/tests.rs
@@ -0,0 +1,183 @@
+use std::cell::{Cell, RefCell};
+use std::future::pending;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use async_io::block_on;
+use coralstep::{Method, SchedulerConfig, Span};
+use coralstep_config::Names;
+use futures_lite::future::poll_once;
+
+use super::*;
+use crate::base::descriptors::Descriptors;
+use crate::base::endpoints::{Endpoint, Endpoints};
+use crate::decisions::RunOutcome;
+use crate::runs::{RunEvent, RunEvents};
+
+const RESULT: &[u8] = b"result";
+
+/// Backend whose runs succeed as soon as they are started.
+#[derive(Default)]
+struct ImmediateBackend {
+    started: RefCell<Vec<RequestId>>,
+}
+
+struct ImmediateRun {
+    backend: Rc<ImmediateBackend>,
+    id: RequestId,
+    events: RefCell<RunEvents>,
+}
+
+impl Backend for ImmediateBackend {
+    fn register(self: Rc<Self>, id: RequestId) -> Option<Box<dyn Run>> {
+        Some(Box::new(ImmediateRun {
+            backend: self,
+            id,
+            events: RefCell::default(),
+        }))
+    }
+}
+
+impl Run for ImmediateRun {
+    fn start(&self, _request: &RunRequest<'_>) {
+        self.backend.started.borrow_mut().push(self.id);
+        let outcome = RunOutcome::Ok(RESULT.into());
+        self.events.borrow_mut().push(RunEvent::Ended(outcome));
+    }
+
+    fn resume(&self, _call_result: &[u8]) {}
+
+    fn mark_answered(&self) {}
+
+    fn cancel(&self) {}
+
+    fn query_status(&self, _request: &RunRequest<'_>) {}
+
+    fn poll_event(&self, cx: &mut Context<'_>) -> Poll<RunEvent> {
+        self.events.borrow_mut().poll(cx)
+    }
+}
+
+/// A reply that outlives its buffers.
+#[derive(Debug, PartialEq)]
+enum Answer {
+    Ok(Vec<u8>),
+    Rejected,
+    Failed,
+}
+
+impl From<Reply<'_>> for Answer {
+    fn from(reply: Reply<'_>) -> Answer {
+        match reply {
+            Reply::Ok(result) => Answer::Ok(result.into()),
+            Reply::Rejected { .. } => Answer::Rejected,
+            Reply::Failed => Answer::Failed,
+        }
+    }
+}
+
+/// An RPC in progress, or one whose idempotency key is retained.
+type RpcTask<'a> = Pin<Box<dyn Future<Output = ()> + 'a>>;
+
+struct Server {
+    handler: RequestHandler,
+    backend: Rc<ImmediateBackend>,
+    next_id: Cell<u64>,
+}
+
+impl Server {
+    fn new(limits: Limits) -> Server {
+        let target = Span::ms(60_000);
+        let method = Method {
+            idempotency: Idempotency::Keyed,
+            latency_objective: target,
+            deadline: target,
+            retry_window: target,
+            ..Method::default()
+        };
+        let config = SchedulerConfig {
+            methods: vec![method],
+            cores: 8,
+            memory_kb: 1e6,
+            ..SchedulerConfig::default()
+        };
+        let names = Names {
+            methods: vec!["pay".to_owned()],
+            ..Names::default()
+        };
+        let scheduler = Rc::new(SchedulerHandle::new(config, names, 1, &limits));
+        scheduler.start(Some(false), Duration::ZERO);
+        let endpoints = Endpoints {
+            engine: Endpoint::new(None),
+            store: Endpoint::new(None),
+            control_plane: Endpoint::new(None),
+            descriptors: Rc::new(Descriptors::new(64)),
+        };
+        let backend = Rc::new(ImmediateBackend::default());
+        let store = StoreClient(Rc::new(endpoints));
+        Server {
+            handler: RequestHandler::new(scheduler, backend.clone(), store, &limits),
+            backend,
+            next_id: Cell::new(1),
+        }
+    }
+
+    /// Sends an attempt with `key` and a new id. Returns its answer, which must come at once.
+    fn send(&self, key: &str) -> (Answer, RpcTask<'_>) {
+        self.next_id.set(self.next_id.get() + 1);
+        let request = RpcRequest {
+            memory_kb: 1.0,
+            idempotency_key: Some(key.as_bytes().into()),
+            ..RpcRequest::default()
+        };
+        let answer = Rc::new(RefCell::new(None));
+        let answered = answer.clone();
+        let reply = move |reply: Reply<'_>| {
+            answered.replace(Some(Answer::from(reply)));
+        };
+        let id = RequestId::from_number(self.next_id.get());
+        let mut task: RpcTask<'_> =
+            Box::pin(
+                self.handler
+                    .handle(request, id, b"body".to_vec(), pending(), reply),
+            );
+        let _ = block_on(poll_once(task.as_mut()));
+        let answer = answer.take().expect("the attempt is answered at once");
+        (answer, task)
+    }
+
+    fn runs(&self) -> usize {
+        self.backend.started.borrow().len()
+    }
+}
+
+fn limits() -> Limits {
+    Limits {
+        connections: 1,
+        spare_connections: 1,
+        unread_reply_bytes: 1,
+        requests: 8,
+        result_bytes: RESULT.len(),
+        request_ids: 32,
+    }
+}
+
+/// Guards against a repeat that is rejected as never run because it gets no entry in the RPC table.
+#[test]
+fn full_rpc_table_does_not_reject_repeat_of_rpc_that_has_run() {
+    let server = Server::new(Limits {
+        requests: 2,
+        ..limits()
+    });
+    let (first, _first) = server.send("a");
+    // Only the first result fits into the memory for results.
+    let (second, _second) = server.send("b");
+    assert_eq!(
+        (first, second),
+        (Answer::Ok(RESULT.into()), Answer::Ok(RESULT.into()))
+    );
+    assert_eq!(server.send("c").0, Answer::Rejected, "the table is full");
+    assert_eq!(server.send("a").0, Answer::Ok(RESULT.into()));
+    assert_eq!(server.send("b").0, Answer::Failed);
+    assert_eq!(server.runs(), 2);
+}
--- /dev/null
+++ b/crates/coralstep-server/tests/repeats.rs
@@ -0,0 +1,64 @@
+//! Repeats of RPCs that have run, while clients with ids unknown to the engine fill the server's tables.
+mod stand_ins;
+
+use stand_ins::{Gateway, LineConnection, Reply, TestServer, id};
+
+/// `pay` has an idempotency key and `book` must run at most once. Queue limit and retry window outlast every test.
+const SETTINGS: &str = r#"{
+  "classes": [
+    {"name":"pay","idempotency":"by_key","promise":80000000000,"deadline":90000000000,"worth":1,"window":90000000000},
+    {"name":"book","idempotency":"once","promise":80000000000,"deadline":90000000000,"worth":1}
+  ],
+  "domain": {"cores":2,"depends_on":"shared","call_share":20.0,"calls_by_class":[false,false],
+    "class_skip_worth":[0.0,0.0],"memory_kb":1000000,"run_factor":8,"key_kb":1,"preemption":"drop",
+    "gauges":["cpu_busy","runnable","mem_used","sockets"],"advert":"weight","callers":3,
+    "caller_idle":1000000000,"linger":100000000},
+  "safety": {"drain_grace":200000000,"fall_multiple":8,"cold_from":0.3,"warm_after":10000000000},
+  "realms": [{"name":"north","quota_rps":50}], "group_size": 4,
+  "goal": {"whole":1}, "worth_by":"request"
+}"#;
+
+/// A server with the smallest table of RPCs.
+const LIMITS: &str = r#""memory_mb":16,"sockets":1024"#;
+/// Entries of that table.
+const TABLE_ENTRIES: u64 = 256;
+/// Maximum number of open requests of one connection.
+const OPEN_REQUESTS: u64 = 32;
+
+fn start() -> (TestServer, LineConnection) {
+    let server = TestServer::with_limits_and_settings(LIMITS, SETTINGS);
+    let engine = server.engine(0, "old 3600000");
+    (server, engine)
+}
+
+fn ok(seq: i32, body: &str) -> Reply {
+    Reply::Answer {
+        seq,
+        body: body.into(),
+        good: true,
+    }
+}
+
+/// Guards against a repeat that is rejected as never run, and run by another server, because the table of RPCs is full.
+#[test]
+fn repeat_of_rpc_that_has_run_is_served_while_rpc_table_is_full() {
+    let (server, mut engine) = start();
+    let mut gateway = server.gateway();
+    let first = gateway.invoke("pay", &id(1), b"", &[("replay", "T-1")]);
+    engine.expect_run(&id(1), "pay");
+    engine.send_done(1, &id(1), "good", "paid");
+    assert_eq!(gateway.read_reply(), ok(first, "paid"));
+    let _runs = engine.serve_in_background("0.5 1 0.1 3", false);
+    let mut strangers: Vec<Gateway> = Vec::new();
+    for index in 0..TABLE_ENTRIES {
+        if index % OPEN_REQUESTS == 0 {
+            strangers.push(server.gateway());
+        }
+        let key = format!("S-{index}");
+        let stranger = strangers.last_mut().unwrap();
+        stranger.invoke("pay", &id(100 + index), b"", &[("replay", &key)]);
+    }
+    server.wait_for_log("request table full");
+    let repeat = gateway.invoke("pay", &id(2), b"", &[("replay", "T-1"), ("dup", "1")]);
+    assert_eq!(gateway.read_reply(), ok(repeat, "paid"));
+}
--- a/crates/coralstep-server/tests/stand_ins/mod.rs
+++ b/crates/coralstep-server/tests/stand_ins/mod.rs
@@ -101,9 +101,14 @@
     settings: &str,
     seed: &str,
 ) -> String {
+    let memory = if limits.contains("memory_mb") {
+        ""
+    } else {
+        "\"memory_mb\":192,"
+    };
     format!(
         r#"{{"name":"n3","listen":"127.0.0.1:0","engine":"{}","control":"{}","store":"{}",
-        "seed":"{seed}","stop_ms":1500,"limits":{{"cores":1.0,"memory_mb":192,{limits}}},
+        "seed":"{seed}","stop_ms":1500,"limits":{{"cores":1.0,{memory}{limits}}},
         "settings":{settings}}}"#,
         engine.local_addr().unwrap(),
         control.local_addr().unwrap(),
@@ -179,13 +184,12 @@
 
     /// Starts a server with other settings.
     pub fn with_settings(settings: &str) -> TestServer {
-        TestServer::spawn(
-            "\"sockets\":1024",
-            "exec \"$0\" serve",
-            None,
-            settings,
-            SEED,
-        )
+        TestServer::with_limits_and_settings("\"sockets\":1024", settings)
+    }
+
+    /// Starts a server with other limits and settings.
+    pub fn with_limits_and_settings(limits: &str, settings: &str) -> TestServer {
+        TestServer::spawn(limits, "exec \"$0\" serve", None, settings, SEED)
     }
 
     fn spawn(
