Serve repeats of tokened RPCs that have run while the table of request ids is full

What callers would see: a repeat of an RPC that has run is answered Overloaded, "this try never ran", while the table of request ids is full. A tokened RPC keeps its id there for the whole window, and a non-idempotent one until its deadline, so clients can fill it.

Cause: RequestHandler::admit claims the attempt's own id before the key is looked up, and ClaimError::Full is answered as a rejection.

Change: a full table of request ids is answered as a full RPC table is, by what is known of earlier attempts. The id of a repeat need not be claimed, for the claim guards against a second run, and a repeat that is answered so does not run.

Measured: the test fails without the change (rejected in place of the result) and passes with it.

--- a/crates/coralstep-server/src/runs/request_handler.rs
+++ b/crates/coralstep-server/src/runs/request_handler.rs
@@ -47,8 +47,9 @@
             RequestError::DuplicateId
             | RequestError::RunRegistered
             | RequestError::Admission(AdmissionError::KeyConflict) => Reply::Failed,
-            RequestError::Admission(AdmissionError::TableFull) => reject_unless_run(0, earlier),
-            RequestError::RequestIdsFull => reject(0),
+            RequestError::RequestIdsFull | RequestError::Admission(AdmissionError::TableFull) => {
+                reject_unless_run(0, earlier)
+            }
             RequestError::Quota(QuotaExhausted { retry_after_ms }) => reject(*retry_after_ms),
         }
     }
--- a/crates/coralstep-server/src/runs/request_handler/tests.rs
+++ b/crates/coralstep-server/src/runs/request_handler/tests.rs
@@ -162,15 +162,10 @@
     }
 }
 
-/// Guards against a repeat that is rejected as never run because it gets no entry in the RPC table.
-#[test]
-fn full_rpc_table_does_not_reject_repeat_of_rpc_that_has_run() {
-    let server = Server::new(Limits {
-        requests: 2,
-        ..limits()
-    });
+/// Runs two RPCs, after which a table of `limits` is full, and repeats both.
+fn assert_full_table_rejects_only_new_rpcs(limits: Limits) {
+    let server = Server::new(limits);
     let (first, _first) = server.send("a");
-    // Only the first result fits into the memory for results.
     let (second, _second) = server.send("b");
     assert_eq!(
         (first, second),
@@ -178,6 +173,25 @@
     );
     assert_eq!(server.send("c").0, Answer::Rejected, "the table is full");
     assert_eq!(server.send("a").0, Answer::Ok(RESULT.into()));
+    // The result of "b" does not fit into the memory for results.
     assert_eq!(server.send("b").0, Answer::Failed);
     assert_eq!(server.runs(), 2);
 }
+
+/// Guards against a repeat that is rejected as never run because it gets no entry in the RPC table.
+#[test]
+fn full_rpc_table_does_not_reject_repeat_of_rpc_that_has_run() {
+    assert_full_table_rejects_only_new_rpcs(Limits {
+        requests: 2,
+        ..limits()
+    });
+}
+
+/// Guards against a repeat that is rejected as never run because its own id can't be claimed.
+#[test]
+fn full_table_of_request_ids_does_not_reject_repeat_of_rpc_that_has_run() {
+    assert_full_table_rejects_only_new_rpcs(Limits {
+        request_ids: 2,
+        ..limits()
+    });
+}
