Do not reject a tokened RPC that has run because a fleet-wide quota is exhausted

What callers would see: a repeat that arrived within the window and is read after it (a pause of the process, a full socket buffer) is answered Overloaded, "this try never ran", where a fleet-wide quota is exhausted, although the RPC has run.

Cause: acquire_quota passes over the quota only for keys that are retained. A key that was released after its window is still known, as one that must not run again, but only the lookup that follows the quota asks for it.

Change: an exhausted quota rejects only an RPC of which no attempt is known, like a full table. RequestError::reply now has one way to a rejection, reject_unless_run.

Measured: the test fails without the change (rejected in place of failed) and passes with it.

--- a/crates/coralstep-server/src/runs/request_handler.rs
+++ b/crates/coralstep-server/src/runs/request_handler.rs
@@ -50,7 +50,9 @@
             RequestError::RequestIdsFull | RequestError::Admission(AdmissionError::TableFull) => {
                 reject_unless_run(0, earlier)
             }
-            RequestError::Quota(QuotaExhausted { retry_after_ms }) => reject(*retry_after_ms),
+            RequestError::Quota(QuotaExhausted { retry_after_ms }) => {
+                reject_unless_run(*retry_after_ms, earlier)
+            }
         }
     }
 
@@ -74,19 +76,15 @@
 /// Guards against a rejection, which promises that the RPC never ran, of one that has run.
 fn reject_unless_run(retry_after_ms: u64, earlier: &EarlierAttempts) -> Reply<'_> {
     match earlier {
-        EarlierAttempts::None => reject(retry_after_ms),
+        EarlierAttempts::None => Reply::Rejected {
+            retry_after_ms,
+            is_final: false,
+        },
         EarlierAttempts::Succeeded(result) => Reply::Ok(result),
         EarlierAttempts::WithoutResult => Reply::Failed,
     }
 }
 
-fn reject(retry_after_ms: u64) -> Reply<'static> {
-    Reply::Rejected {
-        retry_after_ms,
-        is_final: false,
-    }
-}
-
 /// Handles RPCs of all protocols.
 pub struct RequestHandler {
     scheduler: Rc<SchedulerHandle>,
--- a/crates/coralstep-server/src/runs/request_handler/tests.rs
+++ b/crates/coralstep-server/src/runs/request_handler/tests.rs
@@ -6,15 +6,18 @@
 use async_io::block_on;
 use coralstep::{Method, SchedulerConfig, Span};
 use coralstep_config::Names;
+use coralstep_quota::{QuotaPermit, RequestKey};
 use futures_lite::future::poll_once;
 
 use super::*;
 use crate::base::descriptors::Descriptors;
 use crate::base::endpoints::{Endpoint, Endpoints};
-use crate::decisions::RunOutcome;
+use crate::decisions::{QuotaLimiter, RunOutcome};
 use crate::runs::{RunEvent, RunEvents};
 
 const RESULT: &[u8] = b"result";
+/// Retry window that outlasts every test.
+const LONG_WINDOW: Span = Span::ms(60_000);
 
 /// Backend whose runs succeed as soon as they are started.
 #[derive(Default)]
@@ -80,19 +83,20 @@
 type RpcTask<'a> = Pin<Box<dyn Future<Output = ()> + 'a>>;
 
 struct Server {
+    scheduler: Rc<SchedulerHandle>,
     handler: RequestHandler,
     backend: Rc<ImmediateBackend>,
     next_id: Cell<u64>,
 }
 
 impl Server {
-    fn new(limits: Limits) -> Server {
+    fn new(limits: Limits, retry_window: Span) -> Server {
         let target = Span::ms(60_000);
         let method = Method {
             idempotency: Idempotency::Keyed,
             latency_objective: target,
             deadline: target,
-            retry_window: target,
+            retry_window,
             ..Method::default()
         };
         let config = SchedulerConfig {
@@ -116,7 +120,8 @@
         let backend = Rc::new(ImmediateBackend::default());
         let store = StoreClient(Rc::new(endpoints));
         Server {
-            handler: RequestHandler::new(scheduler, backend.clone(), store, &limits),
+            handler: RequestHandler::new(scheduler.clone(), backend.clone(), store, &limits),
+            scheduler,
             backend,
             next_id: Cell::new(1),
         }
@@ -124,9 +129,15 @@
 
     /// Sends an attempt with `key` and a new id. Returns its answer, which must come at once.
     fn send(&self, key: &str) -> (Answer, RpcTask<'_>) {
+        self.send_with_age(key, Duration::ZERO)
+    }
+
+    /// Sends an attempt that arrived at the machine `age` ago.
+    fn send_with_age(&self, key: &str, age: Duration) -> (Answer, RpcTask<'_>) {
         self.next_id.set(self.next_id.get() + 1);
         let request = RpcRequest {
             memory_kb: 1.0,
+            age: clock::span(age),
             idempotency_key: Some(key.as_bytes().into()),
             ..RpcRequest::default()
         };
@@ -136,16 +147,22 @@
             answered.replace(Some(Answer::from(reply)));
         };
         let id = RequestId::from_number(self.next_id.get());
-        let mut task: RpcTask<'_> =
-            Box::pin(
-                self.handler
-                    .handle(request, id, b"body".to_vec(), pending(), reply),
-            );
+        let body = b"body".to_vec();
+        let served = self.handler.handle(request, id, body, pending(), reply);
+        let mut task: RpcTask<'_> = Box::pin(served);
         let _ = block_on(poll_once(task.as_mut()));
         let answer = answer.take().expect("the attempt is answered at once");
         (answer, task)
     }
 
+    /// Runs the scheduler's timers until `task` ends: its idempotency key is released.
+    fn run_until_key_is_released(&self, mut task: RpcTask<'_>) {
+        while block_on(poll_once(task.as_mut())).is_none() {
+            std::thread::sleep(self.scheduler.next_timeout());
+            self.scheduler.handle_timeout(&[]);
+        }
+    }
+
     fn runs(&self) -> usize {
         self.backend.started.borrow().len()
     }
@@ -164,7 +181,7 @@
 
 /// Runs two RPCs, after which a table of `limits` is full, and repeats both.
 fn assert_full_table_rejects_only_new_rpcs(limits: Limits) {
-    let server = Server::new(limits);
+    let server = Server::new(limits, LONG_WINDOW);
     let (first, _first) = server.send("a");
     let (second, _second) = server.send("b");
     assert_eq!(
@@ -195,3 +212,44 @@
         ..limits()
     });
 }
+
+/// Limiter of a quota of one RPC.
+#[derive(Default)]
+struct OneRpcQuota {
+    used: Cell<bool>,
+}
+
+impl QuotaLimiter for OneRpcQuota {
+    fn acquire(
+        &self,
+        _request: RequestKey,
+        _timeout_ms: u64,
+    ) -> Result<QuotaPermit, QuotaExhausted> {
+        if self.used.replace(true) {
+            return Err(QuotaExhausted { retry_after_ms: 1 });
+        }
+        Ok(QuotaPermit::default())
+    }
+
+    fn release(&self, _permit: QuotaPermit) {}
+}
+
+/// Guards against a repeat that is rejected as never run because a quota is exhausted.
+#[test]
+fn exhausted_quota_does_not_reject_repeat_that_is_read_after_its_retry_window() {
+    let server = Server::new(limits(), Span::ms(5));
+    let quota = Rc::new(OneRpcQuota::default());
+    server.scheduler.set_quota_limiter(quota);
+    let sent_at = Instant::now();
+    let (first, task) = server.send("a");
+    assert_eq!(first, Answer::Ok(RESULT.into()));
+    server.run_until_key_is_released(task);
+    assert_eq!(
+        server.send("b").0,
+        Answer::Rejected,
+        "the quota is exhausted"
+    );
+    let (repeat, _repeat) = server.send_with_age("a", sent_at.elapsed());
+    assert_eq!(repeat, Answer::Failed);
+    assert_eq!(server.runs(), 1);
+}
