Do not reject a tokened RPC that has run because its connection is closing

What callers would see: a repeat that is read on a connection which the server is closing (an idle connection being shed, the end of a drain, an SCGI caller that was accepted before) is answered Overloaded, over SCGI 503, "this try never ran", although the RPC has run.

Cause: RequestDispatcher::dispatch rejects such a request by itself, before the handler looks at its key.

Change: the dispatcher leaves that rejection to RequestHandler::reject, which looks the key up and answers a repeat with the kept result, or fails it, as for a full table. The reply goes the way that the rejection went, so nothing waits longer on a closing connection.

Found by reading.

--- a/crates/coralstep-server/src/callers/dispatcher.rs
+++ b/crates/coralstep-server/src/callers/dispatcher.rs
@@ -98,16 +98,15 @@
             writer,
             replied: false,
         };
+        let IncomingRequest { request, id, body } = incoming;
         if connection.is_closing() {
-            // Guards against work whose reply may no longer be delivered. The caller may retry elsewhere at once.
-            return open.reply(&Reply::Rejected {
-                retry_after_ms: 0,
-                is_final: false,
-            });
+            // Guards against work whose reply may no longer be delivered.
+            return self
+                .handler
+                .reject(request, &body, |reply| open.reply(&reply));
         }
         let (handler, connection) = (self.handler.clone(), connection.clone());
         let task = async move {
-            let IncomingRequest { request, id, body } = incoming;
             let served = handler.handle(
                 request,
                 id,
@@ -124,3 +123,6 @@
         self.executor.spawn(task).detach();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/coralstep-server/src/runs/request_handler.rs
+++ b/crates/coralstep-server/src/runs/request_handler.rs
@@ -143,11 +143,8 @@
         let idempotency_key = request.idempotency_key.clone();
         let deadline = Instant::now() + self.remaining_time(&request);
         let idempotency = self.scheduler.idempotency(method);
-        if request.idempotency_key.is_some() {
-            request.body_digest = self.digest_keys.hash_one(&body);
-        }
         // Looked up before any limit is checked, since a limit must not reject a repeat.
-        let earlier = self.scheduler.earlier_attempts(&request);
+        let earlier = self.look_up_earlier_attempts(&mut request, &body);
         let submitted = match self.admit(request, id).await {
             Ok(submitted) => submitted,
             Err(error) => return reply(error.reply(&earlier)),
@@ -178,6 +175,21 @@
             .await;
     }
 
+    /// Answers an RPC that must not be started, as its connection is closing: rejects it unless an
+    /// attempt of it has run. The caller may retry on another server at once.
+    pub fn reject(&self, mut request: RpcRequest, body: &[u8], reply: impl FnOnce(Reply<'_>)) {
+        let earlier = self.look_up_earlier_attempts(&mut request, body);
+        reply(reject_unless_run(0, &earlier));
+    }
+
+    /// Adds the digest of `body` to `request` and looks up its idempotency key.
+    fn look_up_earlier_attempts(&self, request: &mut RpcRequest, body: &[u8]) -> EarlierAttempts {
+        if request.idempotency_key.is_some() {
+            request.body_digest = self.digest_keys.hash_one(body);
+        }
+        self.scheduler.earlier_attempts(request)
+    }
+
     /// Returns the time for which the caller of `request` still waits.
     fn remaining_time(&self, request: &RpcRequest) -> Duration {
         let method_deadline = self.scheduler.deadline(request.method);
@@ -245,4 +257,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/coralstep-server/src/runs/request_handler/tests.rs
+++ b/crates/coralstep-server/src/runs/request_handler/tests.rs
@@ -1,3 +1,4 @@
+//! Tests of the handler, and the server that tests of other modules share.
 use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::pin::Pin;
@@ -15,13 +16,13 @@
 use crate::decisions::{QuotaLimiter, RunOutcome};
 use crate::runs::{RunEvent, RunEvents};
 
-const RESULT: &[u8] = b"result";
+pub(crate) const RESULT: &[u8] = b"result";
 /// Retry window that outlasts every test.
-const LONG_WINDOW: Span = Span::ms(60_000);
+pub(crate) const LONG_WINDOW: Span = Span::ms(60_000);
 
 /// Backend whose runs succeed as soon as they are started.
 #[derive(Default)]
-struct ImmediateBackend {
+pub(crate) struct ImmediateBackend {
     started: RefCell<Vec<RequestId>>,
 }
 
@@ -62,16 +63,16 @@
 }
 
 /// A reply that outlives its buffers.
-#[derive(Debug, PartialEq)]
-enum Answer {
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Answer {
     Ok(Vec<u8>),
     Rejected,
     Failed,
 }
 
-impl From<Reply<'_>> for Answer {
-    fn from(reply: Reply<'_>) -> Answer {
-        match reply {
+impl From<&Reply<'_>> for Answer {
+    fn from(reply: &Reply<'_>) -> Answer {
+        match *reply {
             Reply::Ok(result) => Answer::Ok(result.into()),
             Reply::Rejected { .. } => Answer::Rejected,
             Reply::Failed => Answer::Failed,
@@ -82,15 +83,16 @@
 /// An RPC in progress, or one whose idempotency key is retained.
 type RpcTask<'a> = Pin<Box<dyn Future<Output = ()> + 'a>>;
 
-struct Server {
-    scheduler: Rc<SchedulerHandle>,
-    handler: RequestHandler,
+/// A handler whose only method has an idempotency key.
+pub(crate) struct Server {
+    pub(crate) scheduler: Rc<SchedulerHandle>,
+    pub(crate) handler: Rc<RequestHandler>,
     backend: Rc<ImmediateBackend>,
     next_id: Cell<u64>,
 }
 
 impl Server {
-    fn new(limits: Limits, retry_window: Span) -> Server {
+    pub(crate) fn new(limits: Limits, retry_window: Span) -> Server {
         let target = Span::ms(60_000);
         let method = Method {
             idempotency: Idempotency::Keyed,
@@ -119,9 +121,10 @@
         };
         let backend = Rc::new(ImmediateBackend::default());
         let store = StoreClient(Rc::new(endpoints));
+        let handler = RequestHandler::new(scheduler.clone(), backend.clone(), store, &limits);
         Server {
-            handler: RequestHandler::new(scheduler.clone(), backend.clone(), store, &limits),
             scheduler,
+            handler: Rc::new(handler),
             backend,
             next_id: Cell::new(1),
         }
@@ -134,21 +137,19 @@
 
     /// Sends an attempt that arrived at the machine `age` ago.
     fn send_with_age(&self, key: &str, age: Duration) -> (Answer, RpcTask<'_>) {
-        self.next_id.set(self.next_id.get() + 1);
         let request = RpcRequest {
-            memory_kb: 1.0,
             age: clock::span(age),
-            idempotency_key: Some(key.as_bytes().into()),
-            ..RpcRequest::default()
+            ..request(key)
         };
         let answer = Rc::new(RefCell::new(None));
         let answered = answer.clone();
         let reply = move |reply: Reply<'_>| {
-            answered.replace(Some(Answer::from(reply)));
+            answered.replace(Some(Answer::from(&reply)));
         };
-        let id = RequestId::from_number(self.next_id.get());
         let body = b"body".to_vec();
-        let served = self.handler.handle(request, id, body, pending(), reply);
+        let served = self
+            .handler
+            .handle(request, self.next_id(), body, pending(), reply);
         let mut task: RpcTask<'_> = Box::pin(served);
         let _ = block_on(poll_once(task.as_mut()));
         let answer = answer.take().expect("the attempt is answered at once");
@@ -163,12 +164,26 @@
         }
     }
 
-    fn runs(&self) -> usize {
+    pub(crate) fn next_id(&self) -> RequestId {
+        self.next_id.set(self.next_id.get() + 1);
+        RequestId::from_number(self.next_id.get())
+    }
+
+    pub(crate) fn runs(&self) -> usize {
         self.backend.started.borrow().len()
     }
 }
 
-fn limits() -> Limits {
+pub(crate) fn request(key: &str) -> RpcRequest {
+    RpcRequest {
+        memory_kb: 1.0,
+        idempotency_key: Some(key.as_bytes().into()),
+        ..RpcRequest::default()
+    }
+}
+
+/// Limits of small tables. One result fits into the memory for results.
+pub(crate) fn limits() -> Limits {
     Limits {
         connections: 1,
         spare_connections: 1,
