Free the entries of RPCs whose run the engine refused as unknown

Cause: `NO RUN` (the id, class or body is that of no request) was taken as NoLongerNeeded, so the scheduler and the tables counted the run as one that has run: its entry, its key, the engine's memory booked for the key and, for a non-idempotent RPC, its id stayed for the whole window or until the deadline. A few hundred requests filled the table for seconds. Released keys of such RPCs also pushed out those of RPCs that had run.

Change: a refused start is the outcome Refused, which is reported to the scheduler as a run that never started; the caller still gets an error at once. It is believed only if the start command was sent once and no event of the run has arrived: the answer to a status query or to a command sent again may come from an engine that has forgotten the run.

Measured: without the change three of the tests in tests/repeats.rs and the one of in_flight fail; with every refusal believed, refused_status_query_does_not_prove_that_rpc_never_ran and the one of in_flight fail. All pass with it.

--- a/crates/coralstep-server/src/decisions/admission.rs
+++ b/crates/coralstep-server/src/decisions/admission.rs
@@ -136,10 +136,9 @@
         let succeeded = u64::from(matches!(outcome, RunOutcome::Ok(_)));
         self.succeeded.set(self.succeeded.get() + succeeded);
         self.drive(|scheduler, now, actions| {
-            if let RunOutcome::NeverStarted { retry_after } = outcome
-                && let Some(entry) = actions.rpcs.get_mut(id)
-            {
-                entry.retry_after = clock::span(*retry_after);
+            let entry = actions.rpcs.get_mut(id).filter(|_| outcome.never_started());
+            if let Some(entry) = entry {
+                entry.retry_after = clock::span(outcome.retry_after());
                 if let Some(key) = &entry.idempotency_key {
                     actions.idempotency_keys.mark_never_started(key, id);
                 }
--- a/crates/coralstep-server/src/decisions/request.rs
+++ b/crates/coralstep-server/src/decisions/request.rs
@@ -146,6 +146,8 @@
     Cancelled,
     /// The RPC was already answered, so the run was not started.
     NoLongerNeeded,
+    /// The backend knows no such RPC, so the run never started.
+    Refused,
     /// The run is known not to have started.
     NeverStarted {
         /// Minimum time before this server can try it again.
@@ -154,13 +156,26 @@
 }
 
 impl RunOutcome {
+    /// Returns whether the run is known not to have started.
+    pub fn never_started(&self) -> bool {
+        matches!(self, RunOutcome::Refused | RunOutcome::NeverStarted { .. })
+    }
+
+    /// Returns the minimum time before this server can try the run again.
+    pub(super) fn retry_after(&self) -> Duration {
+        match self {
+            RunOutcome::NeverStarted { retry_after } => *retry_after,
+            _ => Duration::ZERO,
+        }
+    }
+
     pub(super) fn as_scheduler_outcome(&self) -> Outcome {
         match self {
             RunOutcome::Ok(_) => Outcome::Ok,
             RunOutcome::Error => Outcome::Error,
             RunOutcome::Cancelled => Outcome::Cancelled,
             RunOutcome::NoLongerNeeded => Outcome::NoLongerNeeded,
-            RunOutcome::NeverStarted { .. } => Outcome::Unreachable,
+            RunOutcome::Refused | RunOutcome::NeverStarted { .. } => Outcome::Unreachable,
         }
     }
 }
--- a/crates/coralstep-server/src/runs/active_request.rs
+++ b/crates/coralstep-server/src/runs/active_request.rs
@@ -140,11 +140,15 @@
     fn on_run_ended(&mut self, outcome: RunOutcome) {
         // The run no longer needs the result of its call.
         self.call = None;
+        if outcome.never_started() {
+            self.claim.mark_never_started();
+        }
         match &outcome {
             RunOutcome::Ok(result) => self.answer(Reply::Ok(result)),
-            RunOutcome::Error => self.answer(Reply::Failed),
-            RunOutcome::NeverStarted { .. } => self.claim.mark_never_started(),
-            RunOutcome::Cancelled | RunOutcome::NoLongerNeeded => {}
+            RunOutcome::Error | RunOutcome::Refused => self.answer(Reply::Failed),
+            RunOutcome::NeverStarted { .. }
+            | RunOutcome::Cancelled
+            | RunOutcome::NoLongerNeeded => {}
         }
         self.ticket.report(Progress::RunEnded(outcome));
     }
--- a/crates/coralstep-server/src/runs/engine/dispatch.rs
+++ b/crates/coralstep-server/src/runs/engine/dispatch.rs
@@ -1,7 +1,7 @@
 //! Handlers of the engine's messages.
 use std::time::{Duration, Instant};
 
-use crate::decisions::{RunOutcome, SchedulerHandle};
+use crate::decisions::SchedulerHandle;
 use crate::note;
 use crate::runs::RunEvent;
 use crate::runs::engine::Engine;
@@ -106,7 +106,8 @@
         note!(rpc_id = id, command, "engine rejected command");
         if command == Command::RUN {
             // Guards against a rejected run that counts as in progress forever.
-            self.deliver(id, RunEvent::Ended(RunOutcome::NoLongerNeeded));
+            let outcome = self.runs.borrow_mut().rejected_start_outcome(id);
+            self.deliver(id, RunEvent::Ended(outcome));
         }
     }
 
--- a/crates/coralstep-server/src/runs/engine/in_flight.rs
+++ b/crates/coralstep-server/src/runs/engine/in_flight.rs
@@ -22,6 +22,8 @@
     /// Whether it may be resent even if the engine may have read it.
     pub(super) repeatable: bool,
     pub(super) sent: Option<SendPosition>,
+    /// Whether it was sent again, although the engine may have read it before.
+    pub(super) resent: bool,
     /// Whether the engine is known to have read it.
     pub(super) read: bool,
 }
@@ -33,6 +35,7 @@
             starts_run: false,
             repeatable: false,
             sent: None,
+            resent: false,
             read: false,
         }
     }
@@ -65,6 +68,20 @@
         self.events.push(event);
     }
 
+    /// Records that the start command was sent again as a status query.
+    pub(super) fn mark_start_resent(&mut self) {
+        if let Some(command) = &mut self.command {
+            command.resent = true;
+        }
+    }
+
+    /// Returns whether a rejected start command proves that the run never started: it was sent once,
+    /// and no event of the run has arrived.
+    fn is_rejected_start_conclusive(&self) -> bool {
+        let command = self.command.as_ref();
+        command.is_some_and(|command| command.starts_run && !command.resent)
+    }
+
     /// Returns whether the engine may have started the run.
     fn may_have_started(&self) -> bool {
         let unsent = self
@@ -191,6 +208,19 @@
         }
     }
 
+    /// Returns the outcome of a run whose start command the engine rejected, because it knows no such
+    /// RPC.
+    ///
+    /// Guards against RPCs unknown to the engine that occupy the tables like those that have run.
+    pub(super) fn rejected_start_outcome(&self, id: &str) -> RunOutcome {
+        let run = RequestId::parse(id).and_then(|id| self.runs.get(&id));
+        if run.is_some_and(RunState::is_rejected_start_conclusive) {
+            RunOutcome::Refused
+        } else {
+            RunOutcome::NoLongerNeeded
+        }
+    }
+
     /// Delivers an event to its run. Returns `false` if no such run has been started.
     pub(super) fn deliver(&mut self, id: &str, event: RunEvent) -> bool {
         let run = RequestId::parse(id).and_then(|id| self.runs.get_mut(&id));
@@ -201,3 +231,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/coralstep-server/src/runs/engine/link.rs
+++ b/crates/coralstep-server/src/runs/engine/link.rs
@@ -66,6 +66,7 @@
     /// Sends a run's command and records its position.
     pub(super) fn send(&self, command: &mut PendingCommand) {
         let position = self.outbox.put(|out| out.extend_from_slice(&command.bytes));
+        command.resent |= command.sent.is_some();
         command.sent = Some(SendPosition {
             link: self.number,
             position,
--- a/crates/coralstep-server/src/runs/engine/run.rs
+++ b/crates/coralstep-server/src/runs/engine/run.rs
@@ -63,10 +63,11 @@
     /// Guards against a run whose end was never reported and that counts as in progress forever.
     fn query_status(&self, request: &RunRequest<'_>) {
         let mut runs = self.engine.runs.borrow_mut();
-        if runs
+        let answered = runs
             .get_mut(self.id)
-            .is_some_and(|run| run.engine_knows_answer())
-        {
+            .filter(|run| run.engine_knows_answer());
+        if let Some(run) = answered {
+            run.mark_start_resent();
             self.engine.write_if_ready(self.command(request));
         }
     }
--- a/crates/coralstep-server/tests/repeats.rs
+++ b/crates/coralstep-server/tests/repeats.rs
@@ -62,3 +62,76 @@
     let repeat = gateway.invoke("pay", &id(2), b"", &[("replay", "T-1"), ("dup", "1")]);
     assert_eq!(gateway.read_reply(), ok(repeat, "paid"));
 }
+
+/// Serves the engine's link in the background: runs of `known` ids succeed, others are refused.
+fn refuse_unknown_ids(engine: LineConnection, known: &'static [u64]) {
+    let mut ended = 0;
+    engine.handle_runs_in_background(move |_, run, link| {
+        if known.iter().any(|index| id(*index) == run) {
+            ended += 1;
+            link.send_done(ended, run, "good", "done");
+        } else {
+            link.send(&format!("NO RUN {run}\r\n"));
+        }
+    });
+}
+
+/// Guards against clients that fill the table of RPCs for a whole retry window with ids unknown to the engine.
+#[test]
+fn rpcs_unknown_to_engine_leave_no_entries_in_rpc_table() {
+    let (server, engine) = start();
+    refuse_unknown_ids(engine, &[1]);
+    let mut stranger = server.gateway();
+    for index in 0..=TABLE_ENTRIES {
+        let key = format!("S-{index}");
+        let seq = stranger.invoke("pay", &id(100 + index), b"", &[("replay", &key)]);
+        assert_eq!(stranger.read_reply(), Reply::Internal { seq }, "{index}");
+    }
+    let mut gateway = server.gateway();
+    let seq = gateway.invoke("pay", &id(1), b"", &[("replay", "T-1")]);
+    assert_eq!(gateway.read_reply(), ok(seq, "done"));
+}
+
+/// Guards against a client that uses a token first, under an id unknown to the engine, and so keeps its RPC out.
+#[test]
+fn token_that_was_sent_under_unknown_id_runs_under_known_id() {
+    let (server, engine) = start();
+    refuse_unknown_ids(engine, &[1]);
+    let mut gateway = server.gateway();
+    let stranger = gateway.invoke("pay", &id(100), b"", &[("replay", "T-1")]);
+    assert_eq!(gateway.read_reply(), Reply::Internal { seq: stranger });
+    let known = gateway.invoke("pay", &id(1), b"", &[("replay", "T-1")]);
+    assert_eq!(gateway.read_reply(), ok(known, "done"));
+}
+
+/// Guards against clients that fill the table of request ids until the deadline with ids unknown to the engine.
+#[test]
+fn id_of_non_idempotent_rpc_is_free_again_after_engine_refused_its_run() {
+    let (server, mut engine) = start();
+    let mut gateway = server.gateway();
+    let refused = gateway.invoke("book", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "book");
+    engine.send(&format!("NO RUN {}\r\n", id(1)));
+    assert_eq!(gateway.read_reply(), Reply::Internal { seq: refused });
+    let seq = gateway.invoke("book", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "book");
+    engine.send_done(1, &id(1), "good", "booked");
+    assert_eq!(gateway.read_reply(), ok(seq, "booked"));
+}
+
+/// Guards against a second run after an engine that has forgotten an ended run refuses the query for its status.
+#[test]
+fn refused_status_query_does_not_prove_that_rpc_never_ran() {
+    let (server, mut engine) = start();
+    let mut gateway = server.gateway();
+    gateway.invoke("pay", &id(1), b"", &[("replay", "T-1")]);
+    engine.expect_run(&id(1), "pay");
+    // The RPC counts as answered once its caller has disconnected.
+    drop(gateway);
+    engine.expect_run(&id(1), "pay");
+    engine.send(&format!("NO RUN {}\r\n", id(1)));
+    engine.answer_two_gauge_queries();
+    let mut gateway = server.gateway();
+    let repeat = gateway.invoke("pay", &id(2), b"", &[("replay", "T-1"), ("dup", "1")]);
+    assert_eq!(gateway.read_reply(), Reply::Internal { seq: repeat });
+}
