Never run an attempt whose key may have been forgotten early

What callers would see: an attempt of a tokened RPC that has run arrives within the window, is read much later (a pause of the process, a full socket buffer), and runs a second time or is rejected as one that never ran.

Cause: released keys are remembered for a minute after their window, up to a maximum number; beyond it the oldest is forgotten early, and its key is then looked up as one that was never used.

Change: the table keeps the latest end of a window that was forgotten early. An attempt that arrived before it, under a key that is not known, may be a repeat, so it fails in place of running. The table stays as large as it was.

Measured: attempt_that_arrived_before_end_of_early_forgotten_window_never_runs fails without the change (Unknown in place of Conflict) and passes with it; a second test holds that keys that are forgotten in time leave other keys unknown. Found by reading.

--- a/crates/coralstep-server/src/decisions/idempotency_keys.rs
+++ b/crates/coralstep-server/src/decisions/idempotency_keys.rs
@@ -65,6 +65,8 @@
     /// Expiry times of released keys, in order of their release.
     expiries: VecDeque<Expiry>,
     max_released: usize,
+    /// Latest end of the retry window of all keys that were forgotten before their expiry.
+    forgotten_until: Option<Time>,
 }
 
 impl IdempotencyKeys {
@@ -97,12 +99,10 @@
             };
         }
         // Guards against a second run of an attempt that arrived within the retry window but is read
-        // after it, because the process was paused or the socket's buffer was full.
-        if self
-            .released
-            .get(key)
-            .is_some_and(|until| arrived <= *until)
-        {
+        // after it, because the process was paused or the socket's buffer was full. An unknown key may
+        // be one that was forgotten early.
+        let released_until = self.released.get(key).copied();
+        if released_until.max(self.forgotten_until) >= Some(arrived) {
             return Lookup::Conflict;
         }
         Lookup::Unknown
@@ -149,7 +149,8 @@
     ///
     /// If the RPC ran, the key is remembered until `max_read_delay` after its retry window: an attempt
     /// that arrives within the window may be read that late. Beyond the maximum number of released
-    /// keys, the one released first is forgotten early.
+    /// keys, the one released first is forgotten early; from then on no attempt runs that arrived
+    /// before the end of its window, whatever its key.
     pub fn release(&mut self, now: Time, key: &IdempotencyKey, rpc: RpcId, max_read_delay: Span) {
         self.forget_expired(now, max_read_delay);
         if self
@@ -181,9 +182,13 @@
                 break;
             };
             // Guards against forgetting a later run of the same key, which has a later expiry.
-            let released = self.released.get(&key);
-            if released.is_some_and(|until| *until + max_read_delay <= at) {
-                self.released.remove(&key);
+            let released = self.released.get(&key).copied();
+            let Some(until) = released.filter(|until| *until + max_read_delay <= at) else {
+                continue;
+            };
+            self.released.remove(&key);
+            if at > now {
+                self.forgotten_until = self.forgotten_until.max(Some(until));
             }
         }
     }
--- a/crates/coralstep-server/src/decisions/idempotency_keys/tests.rs
+++ b/crates/coralstep-server/src/decisions/idempotency_keys/tests.rs
@@ -100,3 +100,36 @@
         Lookup::Conflict
     );
 }
+
+/// Guards against a second run of an RPC whose key was forgotten early because there were too many keys.
+#[test]
+fn attempt_that_arrived_before_end_of_early_forgotten_window_never_runs() {
+    let mut keys = IdempotencyKeys::new(1);
+    for (name, until) in [("a", 100), ("b", 200), ("c", 150)] {
+        keys.retain(key(name), fingerprint(1, None), RpcId(1), at(until));
+        keys.mark_started(&key(name), RpcId(1));
+        keys.release(at(200), &key(name), RpcId(1), MAX_READ_DELAY);
+    }
+    let lookup = |name, ms| keys.lookup(&key(name), fingerprint(1, None), at(ms));
+    assert_eq!(lookup("a", 100), Lookup::Conflict);
+    assert_eq!(lookup("b", 200), Lookup::Conflict);
+    // Any key that is unknown now may have been forgotten.
+    assert_eq!(lookup("unused", 200), Lookup::Conflict);
+    assert_eq!(lookup("unused", 201), Lookup::Unknown);
+}
+
+/// Guards against new RPCs that fail although no key was forgotten before its time.
+#[test]
+fn key_that_is_forgotten_in_time_leaves_other_keys_unknown() {
+    let mut keys = IdempotencyKeys::new(8);
+    for (name, now) in [("a", 100), ("b", 60_100)] {
+        keys.retain(key(name), fingerprint(1, None), RpcId(1), at(100));
+        keys.mark_started(&key(name), RpcId(1));
+        keys.release(at(now), &key(name), RpcId(1), MAX_READ_DELAY);
+    }
+    assert!(!keys.released.contains_key(&key("a")));
+    assert_eq!(
+        keys.lookup(&key("unused"), fingerprint(1, None), at(50)),
+        Lookup::Unknown
+    );
+}
