Test that a draining or excluded server serves repeats of RPCs that have run

Need: the promise was searched for every way to a rejection; these two hold, and nothing tested it. The scheduler looks a repeat up before it asks admission (drain, levels, exclusion, stall, deadline, memory), so a known run is replayed whatever admission would say.

--- a/crates/coralstep-server/src/runs/request_handler/tests.rs
+++ b/crates/coralstep-server/src/runs/request_handler/tests.rs
@@ -20,6 +20,9 @@
 /// Retry window that outlasts every test.
 pub(crate) const LONG_WINDOW: Span = Span::ms(60_000);
 
+/// Time until the process stops, which outlasts every test.
+const LONG_TIME: Duration = Duration::from_secs(60);
+
 /// Backend whose runs succeed as soon as they are started.
 #[derive(Default)]
 pub(crate) struct ImmediateBackend {
@@ -268,3 +271,20 @@
     assert_eq!(repeat, Answer::Failed);
     assert_eq!(server.runs(), 1);
 }
+
+/// Guards against a repeat that is rejected as never run because a server that sheds load asks its limits first.
+#[test]
+fn draining_or_excluded_server_serves_repeat_of_rpc_that_has_run() {
+    let begin_drain: fn(&SchedulerHandle) = |scheduler| scheduler.begin_drain(LONG_TIME);
+    let exclude: fn(&SchedulerHandle) =
+        |scheduler| scheduler.set_exclusion_check(Rc::new(|| Some(Span::ms(1))));
+    for reject_new_rpcs in [begin_drain, exclude] {
+        let server = Server::new(limits(), LONG_WINDOW);
+        let (first, _first) = server.send("a");
+        assert_eq!(first, Answer::Ok(RESULT.into()));
+        reject_new_rpcs(&server.scheduler);
+        assert_eq!(server.send("b").0, Answer::Rejected);
+        assert_eq!(server.send("a").0, Answer::Ok(RESULT.into()));
+        assert_eq!(server.runs(), 1);
+    }
+}
