Server: the time that an RPC's caller still waits is computed in one place

Change: SchedulerHandle::remaining_time, with the bound by the method's deadline and its reason; the three places use it. No value changes but for rounding: the run's deadline and the quota's now come from the same span.

Measured: the crate's unit tests and those of applications and SCGI, which state timeouts, pass.

--- a/crates/coralstep-server/src/decisions/admission.rs
+++ b/crates/coralstep-server/src/decisions/admission.rs
@@ -103,12 +103,8 @@
         id: RpcId,
         repeat_of: Option<RpcId>,
     ) -> Request {
-        // A client's timeout can only shorten the method's deadline, because state about the RPC may
-        // be discarded after that deadline.
-        let deadline = request.timeout.map(|timeout| {
-            let timeout = timeout.min(self.method(request.method).deadline);
-            self.clock.now() - request.age + timeout
-        });
+        let arrived = self.clock.now() - request.age;
+        let deadline = request.timeout.map(|_| arrived + self.timeout(request));
         Request {
             id,
             method: request.method,
@@ -122,6 +118,22 @@
         }
     }
 
+    /// Returns how long the caller of `request` waits, counted from its arrival at this machine.
+    ///
+    /// A caller's timeout can only shorten the method's deadline, because state about the RPC may be
+    /// discarded after that deadline.
+    fn timeout(&self, request: &RpcRequest) -> Span {
+        let deadline = self.method(request.method).deadline;
+        request
+            .timeout
+            .map_or(deadline, |timeout| timeout.min(deadline))
+    }
+
+    /// Returns the time for which the caller of `request` still waits.
+    pub fn remaining_time(&self, request: &RpcRequest) -> Span {
+        Span(self.timeout(request).0.saturating_sub(request.age.0))
+    }
+
     fn report_call(&self, id: RpcId, outcome: CallOutcome, elapsed: Duration) {
         self.recent_calls
             .borrow_mut()
--- a/crates/coralstep-server/src/decisions/quota.rs
+++ b/crates/coralstep-server/src/decisions/quota.rs
@@ -4,6 +4,7 @@
 
 use coralstep_quota::{QuotaExhausted, QuotaPermit, RequestKey};
 
+use crate::base::clock;
 use crate::decisions::handle::SchedulerHandle;
 use crate::decisions::request::RpcRequest;
 
@@ -64,10 +65,7 @@
             method: request.method,
             calls_dependency: method.calls,
         };
-        let timeout = request
-            .timeout
-            .map_or(method.deadline, |timeout| timeout.min(method.deadline));
-        let timeout_ms = (timeout.0.saturating_sub(request.age.0)).div_ceil(10);
+        let timeout_ms = clock::millis_rounded_up(self.remaining_time(request));
         match limiter.acquire(key, timeout_ms) {
             Ok(permit) => Ok(QuotaGuard(Some(AcquiredPermit { limiter, permit }))),
             Err(error) => {
--- a/crates/coralstep-server/src/runs/request_handler.rs
+++ b/crates/coralstep-server/src/runs/request_handler.rs
@@ -141,7 +141,8 @@
     ) {
         let (method, tenant) = (request.method, request.tenant);
         let idempotency_key = request.idempotency_key.clone();
-        let deadline = Instant::now() + self.remaining_time(&request);
+        let remaining_time = clock::duration(self.scheduler.remaining_time(&request));
+        let deadline = Instant::now() + remaining_time;
         let idempotency = self.scheduler.idempotency(method);
         // Looked up before any limit is checked, since a limit must not reject a repeat.
         let earlier = self.look_up_earlier_attempts(&mut request, &body);
@@ -190,15 +191,6 @@
         self.scheduler.earlier_attempts(request)
     }
 
-    /// Returns the time for which the caller of `request` still waits.
-    fn remaining_time(&self, request: &RpcRequest) -> Duration {
-        let method_deadline = self.scheduler.deadline(request.method);
-        let timeout = request.timeout.map_or(method_deadline, |timeout| {
-            clock::duration(timeout).min(method_deadline)
-        });
-        timeout.saturating_sub(clock::duration(request.age))
-    }
-
     async fn admit(
         &self,
         request: RpcRequest,
