--- a/crates/coralstep-server/src/runs/request_handler.rs
+++ b/crates/coralstep-server/src/runs/request_handler.rs
@@ -7,7 +7,7 @@
 use std::hash::{BuildHasher, RandomState};
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use coralstep::Idempotency;
 use coralstep_quota::QuotaExhausted;
--- a/crates/coralstep-server/src/runs/request_handler/tests.rs
+++ b/crates/coralstep-server/src/runs/request_handler/tests.rs
@@ -3,6 +3,7 @@
 use std::future::pending;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use async_io::block_on;
 use coralstep::{Method, SchedulerConfig, Span};
