--- a/crates/coralstep-server/tests/close.rs
+++ b/crates/coralstep-server/tests/close.rs
@@ -6,15 +6,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use stand_ins::{LIMIT, Reply, TestServer, id};
-
-fn ok(seq: i32, body: &str) -> Reply {
-    Reply::Answer {
-        seq,
-        body: body.into(),
-        good: true,
-    }
-}
+use stand_ins::{LIMIT, Reply, TestServer, id, ok};
 
 #[test]
 fn unread_bytes_do_not_lose_the_last_reply() {
--- a/crates/coralstep-server/tests/descriptors.rs
+++ b/crates/coralstep-server/tests/descriptors.rs
@@ -6,15 +6,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Resource, Rlimit, prlimit};
-use stand_ins::{Gateway, LIMIT, LineConnection, Reply, TestServer, id};
-
-fn ok(seq: i32, body: &str) -> Reply {
-    Reply::Answer {
-        seq,
-        body: body.into(),
-        good: true,
-    }
-}
+use stand_ins::{Gateway, LIMIT, LineConnection, Reply, TestServer, id, ok};
 
 /// Sets the process's limit of open files.
 fn set_descriptor_limit(server: &TestServer, count: u64) {
--- a/crates/coralstep-server/tests/leave.rs
+++ b/crates/coralstep-server/tests/leave.rs
@@ -8,15 +8,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use stand_ins::{LIMIT, Reply, SETTINGS, TestServer, id};
-
-fn ok(seq: i32, body: &str) -> Reply {
-    Reply::Answer {
-        seq,
-        body: body.into(),
-        good: true,
-    }
-}
+use stand_ins::{LIMIT, Reply, SETTINGS, TestServer, id, ok};
 
 #[test]
 fn second_signal_during_drain_has_no_effect() {
--- a/crates/coralstep-server/tests/repeats.rs
+++ b/crates/coralstep-server/tests/repeats.rs
@@ -1,7 +1,7 @@
 //! Repeats of RPCs that have run, while clients with ids unknown to the engine fill the server's tables.
 mod stand_ins;
 
-use stand_ins::{Gateway, LineConnection, Reply, TestServer, id};
+use stand_ins::{Gateway, LineConnection, Reply, TestServer, id, ok};
 
 /// `pay` has an idempotency key and `book` must run at most once. Queue limit and retry window outlast every test.
 const SETTINGS: &str = r#"{
@@ -31,14 +31,6 @@
     (server, engine)
 }
 
-fn ok(seq: i32, body: &str) -> Reply {
-    Reply::Answer {
-        seq,
-        body: body.into(),
-        good: true,
-    }
-}
-
 /// Guards against a repeat that is rejected as never run, and run by another server, because the table of RPCs is full.
 #[test]
 fn repeat_of_rpc_that_has_run_is_served_while_rpc_table_is_full() {
--- a/crates/coralstep-server/tests/serve.rs
+++ b/crates/coralstep-server/tests/serve.rs
@@ -4,15 +4,7 @@
 use std::process::Command;
 use std::time::{Instant, SystemTime};
 
-use stand_ins::{Gateway, LIMIT, LineConnection, Reply, TestServer, id};
-
-fn ok(seq: i32, body: &str) -> Reply {
-    Reply::Answer {
-        seq,
-        body: body.into(),
-        good: true,
-    }
-}
+use stand_ins::{Gateway, LIMIT, LineConnection, Reply, TestServer, id, ok};
 
 #[test]
 fn rpc_result_is_returned_unchanged() {
--- a/crates/coralstep-server/tests/stand_ins/mod.rs
+++ b/crates/coralstep-server/tests/stand_ins/mod.rs
@@ -681,6 +681,15 @@
     Closing,
 }
 
+/// The reply of an RPC that was served with the result `body`.
+pub fn ok(seq: i32, body: &str) -> Reply {
+    Reply::Answer {
+        seq,
+        body: body.into(),
+        good: true,
+    }
+}
+
 /// A gateway's connection to the server.
 pub struct Gateway {
     pub stream: TcpStream,
