--- a/crates/coralstep-server/src/callers/dispatcher/tests.rs
+++ b/crates/coralstep-server/src/callers/dispatcher/tests.rs
@@ -4,7 +4,9 @@
 use super::*;
 use crate::callers::gateway::GatewayProtocol;
 use crate::decisions::ServerStatus;
-use crate::runs::request_handler::tests::{Answer, LONG_WINDOW, RESULT, Server, limits, request};
+use crate::runs::request_handler::tests::fixture::{
+    Answer, LONG_WINDOW, RESULT, Server, limits, request,
+};
 
 /// Records each reply.
 #[derive(Clone, Default)]
