Test that both fronts serve the repeat of an RPC that has run while the RPC table is full

Need: the promise is given to gateways and to SCGI callers; the test of the full table asked gateways alone.

Change: it asks for the repeat over SCGI as well, and that a new RPC is still rejected after it, so that the table was full meanwhile.

--- a/crates/coralstep-server/tests/repeats.rs
+++ b/crates/coralstep-server/tests/repeats.rs
@@ -18,6 +18,8 @@
   "goal": {"whole":1}, "worth_by":"request"
 }"#;
 
+const SITE: &str = r#"{"scgi": {"listen": ["127.0.0.1:0"], "routes": [{"verb": "POST", "path": "/pay", "method": "pay"}]}}"#;
+
 /// A server with the smallest table of RPCs.
 const LIMITS: &str = r#""memory_mb":16,"sockets":1024"#;
 /// Entries of that table.
@@ -26,14 +28,14 @@
 const OPEN_REQUESTS: u64 = 32;
 
 fn start() -> (TestServer, LineConnection) {
-    let server = TestServer::with_limits_and_settings(LIMITS, SETTINGS);
+    let server = TestServer::with_site_limits_and_settings(SITE, LIMITS, SETTINGS);
     let engine = server.engine(0, "old 3600000");
     (server, engine)
 }
 
 /// Guards against a repeat that is rejected as never run, and run by another server, because the table of RPCs is full.
 #[test]
-fn repeat_of_rpc_that_has_run_is_served_while_rpc_table_is_full() {
+fn repeat_of_rpc_that_has_run_is_served_by_both_fronts_while_rpc_table_is_full() {
     let (server, mut engine) = start();
     let mut gateway = server.gateway();
     let first = gateway.invoke("pay", &id(1), b"", &[("replay", "T-1")]);
@@ -53,6 +55,11 @@
     server.wait_for_log("request table full");
     let repeat = gateway.invoke("pay", &id(2), b"", &[("replay", "T-1"), ("dup", "1")]);
     assert_eq!(gateway.read_reply(), ok(repeat, "paid"));
+    let repeat = server.send_scgi("/pay", &[("HTTP_IDEMPOTENCY_KEY", "T-1")], b"");
+    let answer = repeat.answer().unwrap();
+    assert_eq!((answer.status, &answer.body[..]), (200, &b"paid"[..]));
+    let new = server.send_scgi("/pay", &[("HTTP_IDEMPOTENCY_KEY", "T-2")], b"");
+    assert_eq!(new.answer().unwrap().status, 503, "the table is still full");
 }
 
 /// Serves the engine's link in the background: runs of `known` ids succeed, others are refused.
--- a/crates/coralstep-server/tests/stand_ins/mod.rs
+++ b/crates/coralstep-server/tests/stand_ins/mod.rs
@@ -184,12 +184,19 @@
 
     /// Starts a server with other settings.
     pub fn with_settings(settings: &str) -> TestServer {
-        TestServer::with_limits_and_settings("\"sockets\":1024", settings)
+        TestServer::spawn(
+            "\"sockets\":1024",
+            "exec \"$0\" serve",
+            None,
+            settings,
+            SEED,
+        )
     }
 
-    /// Starts a server with other limits and settings.
-    pub fn with_limits_and_settings(limits: &str, settings: &str) -> TestServer {
-        TestServer::spawn(limits, "exec \"$0\" serve", None, settings, SEED)
+    /// Starts a server with a site file, other limits and other settings.
+    pub fn with_site_limits_and_settings(site: &str, limits: &str, settings: &str) -> TestServer {
+        let serve = "exec \"$0\" serve --site \"$1\"";
+        TestServer::spawn(limits, serve, Some(site), settings, SEED)
     }
 
     fn spawn(
