Server: sub-commands are a module of their own; shorter comments of the new tests

Change: `mod cli` with its three files; no text or behaviour changes. A test of repeats says key in place of token, as the glossary has it.

--- a/crates/coralstep-server/src/cli/fleet.rs
+++ b/crates/coralstep-server/src/cli/fleet.rs
@@ -9,7 +9,7 @@
 use lexopt::ValueExt;
 use serde_json::Value as Json;
 
-use crate::levels::send_request;
+use crate::cli::levels::send_request;
 
 pub(crate) const USAGE: &str = "\
 usage: coralstep fleet members --at WHERE [--json]
@@ -293,5 +293,4 @@
 }
 
 #[cfg(test)]
-#[path = "fleet/tests.rs"]
 mod tests;
--- a/crates/coralstep-server/src/decisions/idempotency_keys/tests.rs
+++ b/crates/coralstep-server/src/decisions/idempotency_keys/tests.rs
@@ -101,7 +101,7 @@
     );
 }
 
-/// Guards against a second run of an RPC whose key was forgotten early because there were too many keys.
+/// Guards against a second run of an RPC whose key was forgotten early for lack of room.
 #[test]
 fn attempt_that_arrived_before_end_of_early_forgotten_window_never_runs() {
     let mut keys = IdempotencyKeys::new(1);
--- a/crates/coralstep-server/src/main.rs
+++ b/crates/coralstep-server/src/main.rs
@@ -1,10 +1,5 @@
 //! The `coralstep` command-line program.
-#[path = "cli/fleet.rs"]
-mod fleet;
-#[path = "cli/levels.rs"]
-mod levels;
-#[path = "cli/state.rs"]
-mod state;
+mod cli;
 
 use std::ffi::OsString;
 use std::path::PathBuf;
@@ -15,6 +10,8 @@
 use coralstep_server::base::config::{Config, ConfigFiles};
 use lexopt::Arg::{Long, Short, Value};
 
+use cli::{fleet, levels, state};
+
 const USAGE: &str = "\
 usage: coralstep serve [--config FILE] [--site FILE]    serve until SIGTERM; SIGHUP reads both files again
        coralstep check [--config FILE] [--site FILE]    read both and tell what is wrong with them
--- a/crates/coralstep-server/src/runs/engine/in_flight/tests.rs
+++ b/crates/coralstep-server/src/runs/engine/in_flight/tests.rs
@@ -31,7 +31,7 @@
     matches!(runs.rejected_start_outcome(ID), RunOutcome::Refused)
 }
 
-/// Guards against a second run of an RPC whose rejected start command was sent before and may have been carried out then.
+/// Guards against a second run if a start command is rejected that was carried out before.
 #[test]
 fn rejected_start_proves_that_run_never_started_only_if_sent_once_and_without_events() {
     let (sent_once, _link) = started_run();
--- a/crates/coralstep-server/src/runs/request_handler.rs
+++ b/crates/coralstep-server/src/runs/request_handler.rs
@@ -71,7 +71,7 @@
     }
 }
 
-/// Rejects an RPC of which no attempt has run; answers a repeat with the result of its earlier attempt.
+/// Rejects an RPC of which no attempt is known; answers a repeat with the result of that attempt.
 ///
 /// Guards against a rejection, which promises that the RPC never ran, of one that has run.
 fn reject_unless_run(retry_after_ms: u64, earlier: &EarlierAttempts) -> Reply<'_> {
--- a/crates/coralstep-server/src/runs/request_handler/tests.rs
+++ b/crates/coralstep-server/src/runs/request_handler/tests.rs
@@ -95,7 +95,7 @@
     assert_eq!(server.runs(), 1);
 }
 
-/// Guards against a repeat that is rejected as never run because a server that sheds load asks its limits first.
+/// Guards against a repeat that is rejected as never run because the server sheds load.
 #[test]
 fn draining_or_excluded_server_serves_repeat_of_rpc_that_has_run() {
     let begin_drain: fn(&SchedulerHandle) = |scheduler| scheduler.begin_drain(LONG_TIME);
--- a/crates/coralstep-server/src/runs/request_handler/tests/histories.rs
+++ b/crates/coralstep-server/src/runs/request_handler/tests/histories.rs
@@ -1,4 +1,4 @@
-//! Random histories of attempts, while tables are full, quotas exhausted, connections closing and runs refused.
+//! Random histories of attempts, with full tables, exhausted quotas, closing connections and refused runs.
 use std::rc::Rc;
 
 use coralstep::Span;
--- a/crates/coralstep-server/tests/repeats.rs
+++ b/crates/coralstep-server/tests/repeats.rs
@@ -1,12 +1,13 @@
-//! Repeats of RPCs that have run, while clients with ids unknown to the engine fill the server's tables.
+//! Repeats of RPCs that have run, while clients whose ids the engine does not know fill the tables.
 mod stand_ins;
 
 use stand_ins::{Gateway, LineConnection, Reply, TestServer, id, ok};
 
-/// `pay` has an idempotency key and `book` must run at most once. Queue limit and retry window outlast every test.
+/// `pay` has an idempotency key, `book` must run at most once. All times outlast the tests.
 const SETTINGS: &str = r#"{
   "classes": [
-    {"name":"pay","idempotency":"by_key","promise":80000000000,"deadline":90000000000,"worth":1,"window":90000000000},
+    {"name":"pay","idempotency":"by_key","promise":80000000000,"deadline":90000000000,"worth":1,
+     "window":90000000000},
     {"name":"book","idempotency":"once","promise":80000000000,"deadline":90000000000,"worth":1}
   ],
   "domain": {"cores":2,"depends_on":"shared","call_share":20.0,"calls_by_class":[false,false],
@@ -18,7 +19,8 @@
   "goal": {"whole":1}, "worth_by":"request"
 }"#;
 
-const SITE: &str = r#"{"scgi": {"listen": ["127.0.0.1:0"], "routes": [{"verb": "POST", "path": "/pay", "method": "pay"}]}}"#;
+const SITE: &str = r#"{"scgi": {"listen": ["127.0.0.1:0"],
+  "routes": [{"verb": "POST", "path": "/pay", "method": "pay"}]}}"#;
 
 /// A server with the smallest table of RPCs.
 const LIMITS: &str = r#""memory_mb":16,"sockets":1024"#;
@@ -33,7 +35,7 @@
     (server, engine)
 }
 
-/// Guards against a repeat that is rejected as never run, and run by another server, because the table of RPCs is full.
+/// Guards against a repeat that is rejected, and run elsewhere, because the RPC table is full.
 #[test]
 fn repeat_of_rpc_that_has_run_is_served_by_both_fronts_while_rpc_table_is_full() {
     let (server, mut engine) = start();
@@ -75,7 +77,7 @@
     });
 }
 
-/// Guards against clients that fill the table of RPCs for a whole retry window with ids unknown to the engine.
+/// Guards against clients with unknown ids that fill the RPC table for a whole retry window.
 #[test]
 fn rpcs_unknown_to_engine_leave_no_entries_in_rpc_table() {
     let (server, engine) = start();
@@ -91,9 +93,9 @@
     assert_eq!(gateway.read_reply(), ok(seq, "done"));
 }
 
-/// Guards against a client that uses a token first, under an id unknown to the engine, and so keeps its RPC out.
+/// Guards against a client with an unknown id that uses a key first and so keeps its RPC out.
 #[test]
-fn token_that_was_sent_under_unknown_id_runs_under_known_id() {
+fn key_that_was_sent_under_unknown_id_runs_under_known_id() {
     let (server, engine) = start();
     refuse_unknown_ids(engine, &[1]);
     let mut gateway = server.gateway();
@@ -103,7 +105,7 @@
     assert_eq!(gateway.read_reply(), ok(known, "done"));
 }
 
-/// Guards against clients that fill the table of request ids until the deadline with ids unknown to the engine.
+/// Guards against clients with unknown ids that fill the table of request ids until the deadline.
 #[test]
 fn id_of_non_idempotent_rpc_is_free_again_after_engine_refused_its_run() {
     let (server, mut engine) = start();
@@ -118,7 +120,7 @@
     assert_eq!(gateway.read_reply(), ok(seq, "booked"));
 }
 
-/// Guards against a second run after an engine that has forgotten an ended run refuses the query for its status.
+/// Guards against a second run after the engine has forgotten the first and refuses a status query.
 #[test]
 fn refused_status_query_does_not_prove_that_rpc_never_ran() {
     let (server, mut engine) = start();
