Read what callers have written before a closing connection is half-closed

What callers saw: requests that were written whole to a connection before it was ended stayed without an answer, where the server ended it at that moment (idle, shed for another one, end of a drain) and more than one read was unread, or the reader was between two reads.

Cause: the close looked at the input once at most: `Connection::serve` polled the reader, and then flushed and half-closed, whatever the reader had left. A read returns 4 KiB at first, less than two requests with full bodies. The rest was discarded by `linger`.

Change: the protocol reads until the connection is closing, all requests are answered, all replies are written, and no input is unread; only then is the outbox closed. What is read meanwhile is answered as before (rejected, or the kept result). A closing connection reads at most 32 messages, as many as a gateway may have open; half a message does not keep it open.

--- a/crates/coralstep-server/src/callers/connection.rs
+++ b/crates/coralstep-server/src/callers/connection.rs
@@ -2,7 +2,7 @@
 //!
 //! | closed by | open requests | then |
 //! | --- | --- | --- |
-//! | [`Connection::begin_close`] | are answered by their deadlines; requests read later are rejected | all replies are flushed, the connection is half-closed, and its input is discarded up to a limit |
+//! | [`Connection::begin_close`] | are answered by their deadlines; requests read later are rejected | once all replies are flushed and no input is unread, the connection is half-closed, and later input is discarded up to a limit |
 //! | [`Connection::abort`] | are cancelled, since their callers have disconnected | the connection is closed at once |
 use std::cell::Cell;
 use std::net::{IpAddr, Shutdown, TcpStream};
@@ -47,6 +47,7 @@
     served_request: Cell<bool>,
     aborted: Cell<bool>,
     closing: Cell<bool>,
+    reading_ended: Cell<bool>,
     lingering: Cell<bool>,
     state_changed: Event,
     pub(super) idle_since: Cell<Instant>,
@@ -66,6 +67,7 @@
             served_request: Cell::new(false),
             aborted: Cell::new(false),
             closing: Cell::new(false),
+            reading_ended: Cell::new(false),
             lingering: Cell::new(false),
             state_changed: Event::new(),
             idle_since: Cell::new(Instant::now()),
@@ -154,6 +156,16 @@
         self.state_changed.notify(usize::MAX);
     }
 
+    /// Waits until the connection is closing, all requests are answered, and all replies are written.
+    ///
+    /// The protocol reads until then.
+    /// Guards against requests that are written before the caller can know of the close, and never read.
+    pub async fn wait_until_drained(&self) {
+        self.wait_for(&self.closing).await;
+        self.wait_until_all_answered().await;
+        self.outbox.wait_until_unsent_at_most(0).await;
+    }
+
     /// Waits until the connection is aborted.
     pub async fn wait_until_aborted(&self) {
         self.wait_for(&self.aborted).await;
@@ -180,6 +192,7 @@
     pub async fn serve(&self, stream: &Async<TcpStream>, read: impl Future<Output = ()>) {
         let read = async {
             read.await;
+            self.reading_ended.set(true);
             self.begin_close();
             self.detect_reset(stream).await
         };
@@ -190,8 +203,9 @@
         let flush_expired = async {
             self.wait_for(&self.closing).await;
             self.wait_until_all_answered().await;
-            self.outbox.close();
-            Timer::after(FLUSH_TIMEOUT).await;
+            self.close_outbox_after_reading()
+                .or(sleep(FLUSH_TIMEOUT))
+                .await;
             false
         };
         let write = async { self.outbox.write_to(stream).await.is_ok() };
@@ -202,6 +216,13 @@
         }
     }
 
+    /// Closes the outbox once the protocol reads no more; never returns.
+    async fn close_outbox_after_reading(&self) {
+        self.wait_for(&self.reading_ended).await;
+        self.outbox.close();
+        std::future::pending().await
+    }
+
     /// Waits until no request is open.
     async fn wait_until_all_answered(&self) {
         while self.is_busy() {
@@ -250,16 +271,17 @@
         } else {
             Duration::ZERO
         };
-        let expired = async {
-            Timer::after(timeout).await;
-        };
         discard_input(stream)
-            .or(expired)
+            .or(sleep(timeout))
             .or(self.wait_until_aborted())
             .await;
     }
 }
 
+async fn sleep(duration: Duration) {
+    Timer::after(duration).await;
+}
+
 /// Reads and discards up to [`MAX_LINGER_BYTES`] of input, without yielding, since the limit is small.
 async fn discard_input(mut stream: &Async<TcpStream>) {
     let mut buffer = [0; 4 * 1024];
--- a/crates/coralstep-server/src/callers/error.rs
+++ b/crates/coralstep-server/src/callers/error.rs
@@ -22,6 +22,9 @@
     /// The peer keeps sending invalid messages.
     #[error("too many invalid messages")]
     TooManyInvalidMessages,
+    /// The peer sends more on a closing connection than it may have sent before it learned of the close.
+    #[error("too many messages while the connection is closing")]
+    TooManyMessagesWhileClosing,
     /// A request of the expected length is incomplete.
     #[error("incomplete request")]
     IncompleteRequest,
--- a/crates/coralstep-server/src/callers/gateway/mod.rs
+++ b/crates/coralstep-server/src/callers/gateway/mod.rs
@@ -27,6 +27,9 @@
 const MAX_BODY_BYTES: usize = 2 * 1024;
 /// Number of invalid messages after which a connection is closed.
 const MAX_INVALID_MESSAGES: u32 = 8;
+/// Maximum number of messages read from a closing connection: all requests that a gateway may have sent before it learned of
+/// the close.
+const MAX_MESSAGES_WHILE_CLOSING: usize = MAX_OPEN_REQUESTS;
 /// Pause after each invalid message. Guards against a client that repeats them at full speed.
 const INVALID_MESSAGE_DELAY: Duration = Duration::from_millis(20);
 /// Maximum size of unread replies in bytes. Above it, nothing more is read from the gateway.
@@ -54,6 +57,7 @@
             connection,
             last_sequence: 0,
             invalid_messages: 0,
+            messages_while_closing: 0,
         };
         Box::pin(session.run(stream))
     }
@@ -65,6 +69,7 @@
     connection: &'a Rc<Connection>,
     last_sequence: i32,
     invalid_messages: u32,
+    messages_while_closing: usize,
 }
 
 impl Session<'_> {
@@ -78,7 +83,7 @@
                 .await;
             match buffer.read(stream, self.connection).await? {
                 ReadOutcome::Data => {}
-                ReadOutcome::Closed => return Ok(()),
+                ReadOutcome::Closed | ReadOutcome::Drained => return Ok(()),
                 ReadOutcome::TimedOut => return Err(ConnectionError::TimedOut),
             }
             let consumed = self.handle_frames(buffer.bytes()).await?;
@@ -97,6 +102,7 @@
             let Some(frame) = frame else {
                 return Ok(consumed);
             };
+            self.limit_messages_while_closing()?;
             let invalid_before = self.invalid_messages;
             match thrift::decode(frame.content) {
                 Ok(message) => self.handle_message(&message)?,
@@ -115,6 +121,18 @@
         }
     }
 
+    /// Guards against a client that sends without pause and so keeps a closing connection open.
+    fn limit_messages_while_closing(&mut self) -> Result<(), ConnectionError> {
+        if !self.connection.is_closing() {
+            return Ok(());
+        }
+        self.messages_while_closing += 1;
+        if self.messages_while_closing > MAX_MESSAGES_WHILE_CLOSING {
+            return Err(ConnectionError::TooManyMessagesWhileClosing);
+        }
+        Ok(())
+    }
+
     /// Answers an invalid message with an application exception.
     fn reject_invalid(&mut self, sequence: i32, reason: &str) {
         note!(client: peer = %self.connection.peer, error = %reason, "invalid request");
@@ -175,3 +193,6 @@
         parsed.into_request(trusts_age, body)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coralstep-server/src/callers/gateway/tests.rs
@@ -0,0 +1,158 @@
+//! Connections that close while input is unread.
+use std::io::{Read, Write};
+use std::net::{IpAddr, Shutdown, TcpListener};
+use std::time::SystemTime;
+
+use async_executor::LocalExecutor;
+use async_io::block_on;
+use futures_lite::FutureExt;
+
+use super::*;
+use crate::callers::thrift::tests::{encode_invoke, encode_ping, reply_field};
+use crate::runs::request_handler::tests::fixture::{LONG_WINDOW, Server, limits};
+
+/// Time limit of each read of a test.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// A message that a gateway has received, with its sequence number.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Received {
+    Answer(i32),
+    Rejected(i32),
+    Exception(i32),
+    Closing,
+}
+
+impl Received {
+    fn decode(content: &[u8]) -> Received {
+        let u32_at = |at: usize| u32::from_be_bytes(content[at..at + 4].try_into().unwrap());
+        let name_end = 8 + u32_at(4) as usize;
+        let sequence = u32_at(name_end) as i32;
+        // The first field of a reply's result tells an answer from a declared exception.
+        match (content[3], content[name_end + 6]) {
+            (4, _) => Received::Closing,
+            (3, _) => Received::Exception(sequence),
+            (2, 0) => Received::Answer(sequence),
+            (2, 1) => Received::Rejected(sequence),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// A connection between a gateway and the server.
+struct Fixture {
+    gateway: TcpStream,
+    stream: Async<TcpStream>,
+    connection: Rc<Connection>,
+    executor: Rc<LocalExecutor<'static>>,
+    dispatcher: RequestDispatcher,
+    server: Server,
+}
+
+impl Fixture {
+    fn new() -> Fixture {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let gateway = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        gateway.set_read_timeout(Some(LIMIT)).unwrap();
+        let stream = Async::new(listener.accept().unwrap().0).unwrap();
+        let server = Server::new(limits(), LONG_WINDOW);
+        let executor = Rc::new(LocalExecutor::new());
+        let dispatcher = RequestDispatcher::new(
+            executor.clone(),
+            server.scheduler.clone(),
+            server.handler.clone(),
+        );
+        let peer = IpAddr::from([127, 0, 0, 1]);
+        Fixture {
+            gateway,
+            stream,
+            connection: Rc::new(Connection::new(Rc::new(GatewayProtocol), peer)),
+            executor,
+            dispatcher,
+            server,
+        }
+    }
+
+    /// Writes as a gateway that sends nothing more.
+    fn write_all(&mut self, frames: &[Vec<u8>]) {
+        self.gateway.write_all(&frames.concat()).unwrap();
+    }
+
+    /// Serves the connection to its end, while `script` runs; returns what the gateway has received.
+    fn serve(&mut self, script: impl Future<Output = ()>) -> Vec<Received> {
+        let protocol = Rc::new(GatewayProtocol);
+        let read = async {
+            let _ = protocol
+                .read_connection(&self.dispatcher, &self.stream, &self.connection)
+                .await;
+        };
+        let served = self.connection.serve(&self.stream, read);
+        let script = async {
+            script.await;
+            std::future::pending().await
+        };
+        block_on(self.executor.run(served.or(script)));
+        self.stream.get_ref().shutdown(Shutdown::Both).unwrap();
+        self.receive_all()
+    }
+
+    fn receive_all(&mut self) -> Vec<Received> {
+        let mut bytes = Vec::new();
+        self.gateway.read_to_end(&mut bytes).unwrap();
+        let (mut received, mut rest) = (Vec::new(), &bytes[..]);
+        while let Some(frame) = thrift::split_frame(rest).unwrap() {
+            received.push(Received::decode(frame.content));
+            rest = &rest[frame.encoded_len..];
+        }
+        assert!(rest.is_empty());
+        received
+    }
+}
+
+fn invoke(sequence: i32, body: &[u8]) -> Vec<u8> {
+    let id = format!("{:016x}", 0x51a3_77e0_0000_0000_u64 + sequence as u64);
+    let now = SystemTime::UNIX_EPOCH.elapsed().unwrap().as_millis();
+    let fields = [
+        reply_field("service", "pay"),
+        reply_field("ref", &id),
+        reply_field("since", &now.to_string()),
+        reply_field("room", "1"),
+    ];
+    encode_invoke(sequence, &fields, body)
+}
+
+/// Guards against requests that were written before the caller could know of the close, and are never answered.
+#[test]
+fn all_requests_unread_when_connection_closes_are_answered() {
+    let mut fixture = Fixture::new();
+    // Several times what one read returns.
+    let frames: Vec<_> = (1..=32)
+        .map(|sequence| invoke(sequence, &[b'x'; MAX_BODY_BYTES]))
+        .collect();
+    fixture.write_all(&frames);
+    fixture.connection.begin_close();
+    let expected: Vec<_> = (1..=32).map(Received::Rejected).collect();
+    assert_eq!(fixture.serve(async {}), expected);
+    assert_eq!(fixture.server.runs(), 0);
+}
+
+/// Guards against a client that sends without pause and so keeps a closing connection open.
+#[test]
+fn closing_connection_reads_limited_number_of_messages() {
+    let mut fixture = Fixture::new();
+    let frames: Vec<_> = (1..=2_000).map(encode_ping).collect();
+    fixture.write_all(&frames);
+    fixture.connection.begin_close();
+    let received = fixture.serve(async {});
+    assert_eq!(received.len(), MAX_MESSAGES_WHILE_CLOSING, "{received:?}");
+}
+
+/// Guards against half a message that keeps a closing connection open.
+#[test]
+fn closing_connection_does_not_wait_for_rest_of_message() {
+    let mut fixture = Fixture::new();
+    let message = invoke(2, b"");
+    fixture.write_all(&[encode_ping(1), message[..20].to_vec()]);
+    fixture.connection.begin_close();
+    assert_eq!(fixture.serve(async {}), [Received::Answer(1)]);
+}
--- a/crates/coralstep-server/src/callers/read_buffer.rs
+++ b/crates/coralstep-server/src/callers/read_buffer.rs
@@ -24,10 +24,19 @@
     Data,
     /// The peer closed the connection between two messages.
     Closed,
+    /// The connection is closing: all requests are answered, all replies are written, and no input is unread.
+    Drained,
     /// Nothing arrived in time.
     TimedOut,
 }
 
+/// What a read waits for, and gets first.
+enum ReadEvent {
+    Input(io::Result<usize>),
+    Overdue,
+    Drained,
+}
+
 /// Bytes received on one connection that are not decoded yet.
 #[derive(Debug)]
 pub struct ReadBuffer {
@@ -78,36 +87,44 @@
             self.bytes.resize(2 * self.filled, 0);
         }
         let between_messages = self.filled == 0 && connection.has_received_message();
-        let timeout = message_timeout(between_messages, self.waiting_since);
-        let read = stream.read(&mut self.bytes[self.filled..]);
-        match read.or(timeout).await {
-            Ok(0) if self.filled == 0 => Ok(ReadOutcome::Closed),
-            Ok(0) => Err(ConnectionError::TruncatedMessage),
-            Ok(count) => {
+        let input = async { ReadEvent::Input(stream.read(&mut self.bytes[self.filled..]).await) };
+        let overdue = async {
+            wait_until_overdue(between_messages, self.waiting_since).await;
+            ReadEvent::Overdue
+        };
+        let drained = async {
+            connection.wait_until_drained().await;
+            ReadEvent::Drained
+        };
+        // The order matters: the other events count only while no input is unread.
+        match input.or(overdue).or(drained).await {
+            ReadEvent::Input(Ok(0)) if self.filled == 0 => Ok(ReadOutcome::Closed),
+            ReadEvent::Input(Ok(0)) => Err(ConnectionError::TruncatedMessage),
+            ReadEvent::Input(Ok(count)) => {
                 if between_messages {
                     self.waiting_since = Instant::now();
                 }
                 self.filled += count;
                 Ok(ReadOutcome::Data)
             }
-            Err(error) if error.kind() == io::ErrorKind::TimedOut => Ok(ReadOutcome::TimedOut),
-            Err(error) => {
+            ReadEvent::Input(Err(error)) => {
                 connection.abort();
                 Err(error.into())
             }
+            ReadEvent::Overdue => Ok(ReadOutcome::TimedOut),
+            ReadEvent::Drained => Ok(ReadOutcome::Drained),
         }
     }
 }
 
-/// Fails with `TimedOut` when the message awaited since `waiting_since` is overdue; never completes between two messages.
-async fn message_timeout(between_messages: bool, waiting_since: Instant) -> io::Result<usize> {
+/// Waits until the message awaited since `waiting_since` is overdue; never returns between two messages.
+async fn wait_until_overdue(between_messages: bool, waiting_since: Instant) {
     if between_messages {
         std::future::pending::<()>().await;
     }
     Timer::at(waiting_since + MESSAGE_TIMEOUT).await;
     // Guards against a false timeout after a pause of the process: the rest may have arrived but not been read.
     yield_now().await;
-    Err(io::ErrorKind::TimedOut.into())
 }
 
 impl Default for ReadBuffer {
--- a/crates/coralstep-server/src/callers/scgi/mod.rs
+++ b/crates/coralstep-server/src/callers/scgi/mod.rs
@@ -119,7 +119,7 @@
 enum ReceiveOutcome {
     /// The buffer contains a complete request.
     Request,
-    /// The caller closed the connection without a request.
+    /// The connection was closed without a request.
     Closed,
     /// The input is not a valid request.
     Invalid(RequestError),
@@ -146,7 +146,7 @@
         }
         match buffer.read(stream, connection).await? {
             ReadOutcome::Data => {}
-            ReadOutcome::Closed => return Ok(ReceiveOutcome::Closed),
+            ReadOutcome::Closed | ReadOutcome::Drained => return Ok(ReceiveOutcome::Closed),
             ReadOutcome::TimedOut => return Ok(ReceiveOutcome::Invalid(RequestError::TimedOut)),
         }
     }
--- a/crates/coralstep-server/src/callers/thrift.rs
+++ b/crates/coralstep-server/src/callers/thrift.rs
@@ -383,4 +383,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
--- a/crates/coralstep-server/src/callers/thrift/tests.rs
+++ b/crates/coralstep-server/src/callers/thrift/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-fn reply_field(key: &'static str, value: &str) -> ReplyField {
+pub(in crate::callers) fn reply_field(key: &'static str, value: &str) -> ReplyField {
     ReplyField {
         key,
         value: value.to_owned(),
@@ -11,6 +11,28 @@
     Err(DecodeError::Invalid { sequence, reason })
 }
 
+/// Encodes a call of `invoke`.
+pub(in crate::callers) fn encode_invoke(
+    sequence: i32,
+    fields: &[ReplyField],
+    body: &[u8],
+) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut writer = FrameWriter::new(&mut bytes, CALL, "invoke", sequence);
+    writer.map_of_strings(1, fields);
+    writer.field(STRING, 2);
+    writer.binary(body);
+    writer.finish();
+    bytes
+}
+
+/// Encodes a health check.
+pub(in crate::callers) fn encode_ping(sequence: i32) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    FrameWriter::new(&mut bytes, CALL, "ping", sequence).finish();
+    bytes
+}
+
 /// Encodes a call of `invoke` with an unknown field, as a gateway might.
 fn invoke_call() -> Vec<u8> {
     let mut bytes = Vec::new();
