Keep reading a connection with open requests while a message is overdue

Cause: the time limit for the rest of a message ended the reading of the whole connection (`ReadBuffer::read` returned `TimedOut`, the session ended), but the connection itself stayed open for its open requests. What was written meanwhile stayed in the socket and was discarded at the end. Told from a late answer by the log: "connection failed ... timed out" 1.5 s after the message began, before its second half was written; none of the requests reached the engine.

Change: an overdue message closes its connection only once no request is open on it; until then the connection is read and served as ever. The limit is the same 1.5 s: a connection without open requests ends then, as before, and one with open requests right after their replies, so half a message holds its place no longer than those requests, which are answered by their deadlines. A caller that has been served is asked to leave before the end. That a message is overdue while requests are open is logged.

Seen to fail before: on requests_behind_overdue_message_are_answered (waiting 1.6 s in place of the new log line): the engine never got the `RUN` of the slow message.

--- a/crates/coralstep-server/src/callers/connection.rs
+++ b/crates/coralstep-server/src/callers/connection.rs
@@ -156,6 +156,23 @@
         self.state_changed.notify(usize::MAX);
     }
 
+    /// Closes the connection once all open requests are answered. Returns once all replies are written.
+    pub async fn close_when_answered(&self) {
+        self.wait_until_all_answered().await;
+        self.announce_close();
+        self.wait_until_drained().await;
+    }
+
+    /// Begins a graceful close and tells the caller, unless it never sent a message.
+    ///
+    /// Silent callers are not told, so that their descriptors are freed at once.
+    pub fn announce_close(&self) {
+        if self.has_received_message() {
+            self.request_close();
+        }
+        self.begin_close();
+    }
+
     /// Waits until the connection is closing, all requests are answered, and all replies are written.
     ///
     /// The protocol reads until then.
--- a/crates/coralstep-server/src/callers/connections.rs
+++ b/crates/coralstep-server/src/callers/connections.rs
@@ -200,11 +200,7 @@
         let Some(victim) = victim else {
             return false;
         };
-        // A silent connection gets no closing notice, so that its descriptor is freed at once.
-        if victim.has_received_message() {
-            victim.request_close();
-        }
-        victim.begin_close();
+        victim.announce_close();
         true
     }
 
--- a/crates/coralstep-server/src/callers/read_buffer.rs
+++ b/crates/coralstep-server/src/callers/read_buffer.rs
@@ -1,4 +1,5 @@
 //! Buffer of received bytes that are not decoded yet, with a timeout for incomplete messages.
+use std::cell::Cell;
 use std::io;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -9,8 +10,10 @@
 
 use crate::callers::connection::Connection;
 use crate::callers::error::ConnectionError;
+use crate::note;
 
-/// Timeout for a connection's first message and for the rest of any message.
+/// Timeout for a connection's first message and for the rest of any message. After it, the connection closes as soon as no
+/// request is open.
 ///
 /// Guards against clients that send nothing and against messages that are never completed.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -26,7 +29,7 @@
     Closed,
     /// The connection is closing: all requests are answered, all replies are written, and no input is unread.
     Drained,
-    /// Nothing arrived in time.
+    /// A message did not arrive in time, and the connection is closing as under [`ReadOutcome::Drained`].
     TimedOut,
 }
 
@@ -44,6 +47,8 @@
     filled: usize,
     /// Start of the wait for the current message.
     waiting_since: Instant,
+    /// Whether it was logged that the current message is overdue.
+    overdue_logged: Cell<bool>,
 }
 
 impl ReadBuffer {
@@ -53,6 +58,7 @@
             bytes: vec![0; INITIAL_CAPACITY_BYTES],
             filled: 0,
             waiting_since: Instant::now(),
+            overdue_logged: Cell::new(false),
         }
     }
 
@@ -66,12 +72,14 @@
         self.bytes.copy_within(count..self.filled, 0);
         self.filled -= count;
         self.waiting_since = Instant::now();
+        self.overdue_logged.set(false);
         if self.filled == 0 && self.bytes.len() > INITIAL_CAPACITY_BYTES {
             self.bytes = vec![0; INITIAL_CAPACITY_BYTES];
         }
     }
 
-    /// Reads once. Between messages the wait has no time limit; once a message has begun, the timeout applies.
+    /// Reads once. Between messages the wait has no time limit; once a message has begun, the timeout applies. A connection
+    /// whose message is overdue is read until its open requests are answered.
     ///
     /// # Errors
     /// Fails if the socket fails or the peer closes the connection in the middle of a message.
@@ -90,6 +98,7 @@
         let input = async { ReadEvent::Input(stream.read(&mut self.bytes[self.filled..]).await) };
         let overdue = async {
             wait_until_overdue(between_messages, self.waiting_since).await;
+            close_overdue(connection, &self.overdue_logged).await;
             ReadEvent::Overdue
         };
         let drained = async {
@@ -127,6 +136,17 @@
     yield_now().await;
 }
 
+/// Closes a connection whose message is overdue, but not while requests are open on it.
+///
+/// Guards against requests behind a message that is written slowly: a caller that waits for replies has reason to complete
+/// that message, and to send more.
+async fn close_overdue(connection: &Connection, logged: &Cell<bool>) {
+    if connection.is_busy() && !logged.replace(true) {
+        note!(client: peer = %connection.peer, "message overdue, requests still open");
+    }
+    connection.close_when_answered().await;
+}
+
 impl Default for ReadBuffer {
     fn default() -> ReadBuffer {
         ReadBuffer::new()
--- a/crates/coralstep-server/tests/close.rs
+++ b/crates/coralstep-server/tests/close.rs
@@ -6,7 +6,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use stand_ins::{LIMIT, Reply, TestServer, id, ok};
+use stand_ins::{Gateway, LIMIT, LineConnection, Reply, TestServer, id, ok};
 
 #[test]
 fn unread_bytes_do_not_lose_the_last_reply() {
@@ -79,6 +79,55 @@
     engine.expect_run(&id(3), "pay");
 }
 
+/// Opens a connection whose message behind an open request is overdue, and returns the rest of that message.
+fn connection_with_overdue_message(
+    server: &TestServer,
+    engine: &mut LineConnection,
+) -> (Gateway, Vec<u8>) {
+    let mut gateway = server.gateway();
+    gateway.invoke("pay", &id(1), b"", &[]);
+    engine.expect_run(&id(1), "pay");
+    let mut message = gateway.encode_rpc("pay", &id(2), b"written slowly", &[]);
+    let rest = message.split_off(message.len() / 2);
+    gateway.write(&message);
+    engine.serve_until_logged(server, "message overdue, requests still open");
+    (gateway, rest)
+}
+
+/// Guards against a connection that stays open but is no longer read, so that requests written to it are never answered.
+#[test]
+fn requests_behind_overdue_message_are_answered() {
+    let (server, mut engine) = TestServer::ready();
+    let (mut gateway, rest) = connection_with_overdue_message(&server, &mut engine);
+    gateway.write(&rest);
+    assert_eq!(engine.expect_run(&id(2), "pay"), b"written slowly");
+    let last = gateway.invoke("pay", &id(3), b"", &[]);
+    engine.send_done(1, &id(1), "good", "first");
+    engine.send_done(2, &id(2), "good", "second");
+    assert_eq!(gateway.read_reply(), ok(1, "first"));
+    assert_eq!(gateway.read_reply(), ok(2, "second"));
+    engine.expect_run(&id(3), "pay");
+    engine.send_done(3, &id(3), "good", "third");
+    assert_eq!(gateway.read_reply(), ok(last, "third"));
+    drop(gateway);
+}
+
+/// Guards against half a message that holds its connection for good, although bytes of it keep coming.
+#[test]
+fn overdue_message_closes_connection_after_open_requests() {
+    let (server, mut engine) = TestServer::ready();
+    let (mut gateway, rest) = connection_with_overdue_message(&server, &mut engine);
+    for byte in &rest[..rest.len() / 2] {
+        gateway.write(&[*byte]);
+    }
+    assert!(server.gateway().ping());
+    engine.send_done(1, &id(1), "good", "last");
+    assert_eq!(gateway.read_reply(), ok(1, "last"));
+    assert_eq!(gateway.read_reply(), Reply::Closing);
+    assert!(gateway.is_closed());
+    server.wait_for_log("connection failed peer=127.0.0.1 error=timed out");
+}
+
 #[test]
 fn half_closed_caller_gets_late_answer() {
     let (server, mut engine) = TestServer::ready();
--- a/crates/coralstep-server/tests/stand_ins/mod.rs
+++ b/crates/coralstep-server/tests/stand_ins/mod.rs
@@ -780,7 +780,8 @@
         self.seq
     }
 
-    fn encode_rpc(
+    /// Encodes an RPC that has just arrived.
+    pub fn encode_rpc(
         &mut self,
         method: &str,
         id: &str,
