Answer valid requests behind an invalid message, and tell the gateway at once

What callers saw: after a corrupt message, a sequence number that does not rise, or the eighth invalid message, a connection with open requests stayed open and nothing was said for a second, but what was written to it was never read.

Cause: these errors ended the reading of the connection, like an end of the input; the `closing` notice came only from the check for callers that are gone.

The gateway gets `closing` at once. A frame length that is out of range still ends the reading, as no message can be found behind it; it is told at once, too.

--- a/crates/coralstep-server/src/callers/gateway/mod.rs
+++ b/crates/coralstep-server/src/callers/gateway/mod.rs
@@ -25,7 +25,7 @@
 const MAX_OPEN_REQUESTS: usize = 32;
 /// Maximum length of a body in bytes, defined by the protocol.
 const MAX_BODY_BYTES: usize = 2 * 1024;
-/// Number of invalid messages after which a connection is closed.
+/// Number of invalid messages after which a connection begins to close.
 const MAX_INVALID_MESSAGES: u32 = 8;
 /// Maximum number of messages read from a closing connection: all requests that a gateway may have sent before it learned of
 /// the close.
@@ -73,7 +73,7 @@
 }
 
 impl Session<'_> {
-    /// Reads until the gateway disconnects or violates the protocol.
+    /// Reads until the gateway disconnects, the connection has closed, or its input can't be split into messages.
     async fn run(mut self, stream: &Async<TcpStream>) -> Result<(), ConnectionError> {
         let mut buffer = ReadBuffer::new();
         loop {
@@ -97,30 +97,40 @@
     async fn handle_frames(&mut self, bytes: &[u8]) -> Result<usize, ConnectionError> {
         let mut consumed = 0;
         loop {
-            let frame = thrift::split_frame(&bytes[consumed..])
-                .map_err(|_| ConnectionError::InvalidFrameLength)?;
+            let Ok(frame) = thrift::split_frame(&bytes[consumed..]) else {
+                self.connection.announce_close();
+                return Err(ConnectionError::InvalidFrameLength);
+            };
             let Some(frame) = frame else {
                 return Ok(consumed);
             };
             self.limit_messages_while_closing()?;
             let invalid_before = self.invalid_messages;
             match thrift::decode(frame.content) {
-                Ok(message) => self.handle_message(&message)?,
+                Ok(message) => self.handle_message(&message),
                 Err(DecodeError::Invalid { sequence, reason }) => {
                     self.reject_invalid(sequence, reason);
                 }
-                Err(DecodeError::Corrupt) => return Err(ConnectionError::CorruptMessage),
+                Err(DecodeError::Corrupt) => self.close_after(&ConnectionError::CorruptMessage),
             }
             consumed += frame.encoded_len;
-            if self.invalid_messages >= MAX_INVALID_MESSAGES {
-                return Err(ConnectionError::TooManyInvalidMessages);
-            }
             if self.invalid_messages > invalid_before {
                 Timer::after(INVALID_MESSAGE_DELAY).await;
             }
         }
     }
 
+    /// Begins to close the connection after a violation of the protocol that leaves the frames behind it readable.
+    ///
+    /// Those are still read until the connection is closed.
+    /// Guards against valid requests that are never answered because an invalid message came before them.
+    fn close_after(&self, error: &ConnectionError) {
+        if !self.connection.is_closing() {
+            note!(client: peer = %self.connection.peer, %error, "connection failed");
+            self.connection.announce_close();
+        }
+    }
+
     /// Guards against a client that sends without pause and so keeps a closing connection open.
     fn limit_messages_while_closing(&mut self) -> Result<(), ConnectionError> {
         if !self.connection.is_closing() {
@@ -140,14 +150,17 @@
         self.connection
             .outbox
             .put(|out| thrift::encode_application_exception(out, sequence, reason));
+        if self.invalid_messages >= MAX_INVALID_MESSAGES {
+            self.close_after(&ConnectionError::TooManyInvalidMessages);
+        }
     }
 
-    fn handle_message(&mut self, message: &Message<'_>) -> Result<(), ConnectionError> {
+    fn handle_message(&mut self, message: &Message<'_>) {
         self.connection.record_message();
         let (Message::Ping { sequence } | Message::Invoke { sequence, .. }) = *message;
         // Guards against two requests with the same sequence number, whose replies could be confused.
         if sequence <= std::mem::replace(&mut self.last_sequence, sequence) {
-            return Err(ConnectionError::NonIncreasingSequenceNumber);
+            return self.close_after(&ConnectionError::NonIncreasingSequenceNumber);
         }
         match message {
             Message::Ping { .. } => self.answer_ping(sequence),
@@ -159,7 +172,6 @@
                 Err(error) => self.reject_invalid(sequence, &error.to_string()),
             },
         }
-        Ok(())
     }
 
     fn answer_ping(&self, sequence: i32) {
--- a/crates/coralstep-server/tests/close.rs
+++ b/crates/coralstep-server/tests/close.rs
@@ -18,6 +18,7 @@
         engine.expect_run(&id(index), "pay");
         gateway.write(&vec![0xff; count]);
         server.wait_for_log("invalid frame length");
+        assert_eq!(gateway.read_reply(), Reply::Closing);
         engine.send_done(index, &id(index), "good", "still");
         assert_eq!(gateway.read_reply(), ok(seq, "still"));
         // The end of the stream and no reset, which a close with unread bytes would cause.
@@ -66,6 +67,7 @@
     engine.expect_run(&id(1), "pay");
     gateway.write(&[0xff; 64]);
     server.wait_for_log("invalid frame length");
+    assert_eq!(gateway.read_reply(), Reply::Closing);
     engine.send_done(1, &id(1), "good", "last");
     assert_eq!(gateway.read_reply(), ok(seq, "last"));
     // The server has closed its side; an RPC can still be written, and the server reads the connection to its
--- a/crates/coralstep-server/tests/serve.rs
+++ b/crates/coralstep-server/tests/serve.rs
@@ -720,6 +720,7 @@
     gateway.reuse_sequence_number();
     gateway.invoke("pay", &id(2), b"", &[]);
     server.wait_for_log("sequence number not greater than the previous one");
+    assert_eq!(gateway.read_reply(), Reply::Closing);
     engine.send_done(1, &id(1), "good", "first");
     assert_eq!(gateway.read_reply(), ok(seq, "first"));
     assert!(gateway.is_closed());
@@ -777,6 +778,7 @@
         engine.expect_run(&id(index), "pay");
         gateway.write(bytes);
         server.wait_for_log("connection failed peer=127.0.0.1 error=");
+        assert_eq!(gateway.read_reply(), Reply::Closing);
         engine.send_done(index, &id(index), "good", "still");
         assert_eq!(gateway.read_reply(), ok(seq, "still"));
         assert!(gateway.is_closed());
