Write a reply that is ready to an SCGI caller that has half-closed

What callers saw: a health check over SCGI, or a request that was rejected at once, had no answer where the caller had half-closed its connection right behind it.

Cause: the end of the input aborted the connection (`wait_for_close`), even if the request was answered already and only the write was left.

Change: the end of the input cancels what is open, as docs/scgi.md says; a reply that is ready is written first.

half_closed_scgi_caller_reads_reply_made_at_once fails without it ("an answer" was expected, the connection ended), and passes with it.

--- a/crates/coralstep-server/src/callers/scgi/mod.rs
+++ b/crates/coralstep-server/src/callers/scgi/mod.rs
@@ -200,6 +200,8 @@
 }
 
 /// Waits until the caller closes the connection, which cancels its request if there is no reply yet.
+///
+/// Guards against a reply that is dropped because its caller has half-closed the connection before it was written.
 async fn wait_for_close(
     mut stream: &Async<TcpStream>,
     connection: &Connection,
@@ -208,6 +210,7 @@
     let mut trailing = 0;
     loop {
         match stream.read(&mut buffer).await {
+            Ok(0) if !connection.is_busy() => return Ok(()),
             Ok(0) | Err(_) => {
                 connection.abort();
                 return Ok(());
--- a/crates/coralstep-server/tests/close.rs
+++ b/crates/coralstep-server/tests/close.rs
@@ -191,6 +191,24 @@
     }
 }
 
+/// Guards against an SCGI reply that is dropped because its caller half-closed the connection behind the request.
+#[test]
+fn half_closed_scgi_caller_reads_reply_made_at_once() {
+    let server = TestServer::with_site(stand_ins::scgi::FRONT);
+    let request = stand_ins::scgi::request("GET", "/health", &[], b"");
+    let mut callers: Vec<_> = (0..4).map(|_| server.connect()).collect();
+    // Request and end of input are there together when the server reads.
+    server.signal("STOP");
+    for caller in &mut callers {
+        caller.write(&request);
+        caller.stream.shutdown(Shutdown::Write).unwrap();
+    }
+    server.signal("CONT");
+    for caller in callers {
+        assert!([200, 503].contains(&caller.status()));
+    }
+}
+
 #[test]
 fn truncated_store_reply_does_not_repeat_the_call() {
     let (server, mut engine) = TestServer::ready();
