Play random histories of a connection against the promise that requests are answered

150 seeded histories of 24 messages, valid, invalid and corrupt, written in pieces of random size while requests begin and end and the connection closes: each valid message written before the half-close has one answer, and none afterwards. Time limits are not played; they have tests of their own.

--- a/crates/coralstep-server/src/callers/connection.rs
+++ b/crates/coralstep-server/src/callers/connection.rs
@@ -295,7 +295,7 @@
     }
 }
 
-async fn sleep(duration: Duration) {
+pub(super) async fn sleep(duration: Duration) {
     Timer::after(duration).await;
 }
 
--- a/crates/coralstep-server/src/callers/connections.rs
+++ b/crates/coralstep-server/src/callers/connections.rs
@@ -14,7 +14,7 @@
 
 use crate::base::descriptors::Descriptors;
 use crate::base::limits::Limits;
-use crate::callers::connection::{ClosingNotice, Connection};
+use crate::callers::connection::{ClosingNotice, Connection, sleep};
 use crate::callers::dispatcher::RequestDispatcher;
 use crate::callers::protocol::Protocol;
 use crate::decisions::SchedulerHandle;
@@ -336,9 +336,5 @@
     }
 }
 
-async fn sleep(duration: Duration) {
-    Timer::after(duration).await;
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/coralstep-server/src/callers/gateway/tests.rs
+++ b/crates/coralstep-server/src/callers/gateway/tests.rs
@@ -6,6 +6,8 @@
 use async_executor::LocalExecutor;
 use async_io::block_on;
 use futures_lite::FutureExt;
+use futures_lite::future::yield_now;
+use nanorand::{Rng, WyRand};
 
 use super::*;
 use crate::callers::thrift::tests::{encode_invoke, encode_ping, reply_field};
@@ -13,6 +15,9 @@
 
 /// Time limit of each read of a test.
 const LIMIT: Duration = Duration::from_secs(10);
+const HISTORIES: u64 = 150;
+/// Messages of a history; few enough that a closing connection reads all of them.
+const HISTORY_MESSAGES: i32 = 24;
 
 /// A message that a gateway has received, with its sequence number.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -64,6 +69,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let gateway = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         gateway.set_read_timeout(Some(LIMIT)).unwrap();
+        // What is written has arrived when the server reads next.
+        gateway.set_nodelay(true).unwrap();
         let stream = Async::new(listener.accept().unwrap().0).unwrap();
         let server = Server::new(limits(), LONG_WINDOW);
         let executor = Rc::new(LocalExecutor::new());
@@ -102,7 +109,8 @@
             std::future::pending().await
         };
         block_on(self.executor.run(served.or(script)));
-        self.stream.get_ref().shutdown(Shutdown::Both).unwrap();
+        // Fails if the gateway has closed the connection, too.
+        let _ = self.stream.get_ref().shutdown(Shutdown::Both);
         self.receive_all()
     }
 
@@ -209,3 +217,139 @@
         assert_eq!(fixture.server.runs(), 0);
     }
 }
+
+/// A message of a random history.
+struct HistoryMessage {
+    sequence: i32,
+    /// Whether the server owes it an answer.
+    valid: bool,
+    /// Position of its end in the gateway's output.
+    end: usize,
+}
+
+/// A gateway that writes valid and invalid messages in pieces of random size, while requests begin and end and the
+/// connection is closed at a random step.
+struct History {
+    rng: WyRand,
+    messages: Vec<HistoryMessage>,
+    output: Vec<u8>,
+    written: usize,
+    /// Bytes that were written before the server ended the connection.
+    written_in_time: usize,
+}
+
+impl History {
+    fn new(seed: u64) -> History {
+        let mut history = History {
+            rng: WyRand::new_seed(seed),
+            messages: Vec::new(),
+            output: Vec::new(),
+            written: 0,
+            written_in_time: 0,
+        };
+        for sequence in 1..=HISTORY_MESSAGES {
+            history.add_message(sequence);
+        }
+        history
+    }
+
+    fn pick(&mut self, count: usize) -> usize {
+        self.rng.generate_range(0..count)
+    }
+
+    fn add_message(&mut self, sequence: i32) {
+        let kind = self.pick(12);
+        let frame = match kind {
+            0 => b"\0\0\0\x04abcd".to_vec(),
+            1 => encode_invoke(sequence, &[], b""),
+            2 => encode_ping(0),
+            3..=5 => encode_ping(sequence),
+            _ => {
+                let length = self.pick(MAX_BODY_BYTES + 1);
+                invoke(sequence, &vec![b'x'; length])
+            }
+        };
+        self.output.extend(frame);
+        self.messages.push(HistoryMessage {
+            sequence,
+            valid: kind >= 3,
+            end: self.output.len(),
+        });
+    }
+
+    /// Writes the next piece, mostly a short one.
+    fn write(&mut self, mut gateway: &TcpStream, connection: &Connection) {
+        let longest = [40, 400, 8_000][self.pick(3)];
+        let left = self.output.len() - self.written;
+        let end = self.written + (1 + self.pick(longest)).min(left);
+        gateway.write_all(&self.output[self.written..end]).unwrap();
+        self.written = end;
+        if !connection.is_lingering() {
+            self.written_in_time = end;
+        }
+    }
+
+    async fn play(&mut self, gateway: &TcpStream, connection: &Connection) {
+        let steps = 1 + self.pick(60);
+        let mut open = 0;
+        for _ in 0..steps {
+            match self.pick(8) {
+                0 if open < 2 && !connection.is_closing() => {
+                    connection.record_request_start();
+                    open += 1;
+                }
+                1 if open > 0 => {
+                    connection.record_request_end();
+                    open -= 1;
+                }
+                2 => drop(Timer::after(Duration::from_micros(50)).await),
+                _ => self.write(gateway, connection),
+            }
+            for _ in 0..self.pick(4) {
+                yield_now().await;
+            }
+        }
+        connection.announce_close();
+        while open > 0 || self.pick(3) > 0 {
+            if open > 0 && self.pick(2) == 0 {
+                connection.record_request_end();
+                open -= 1;
+            }
+            self.write(gateway, connection);
+            yield_now().await;
+        }
+    }
+
+    /// Checks that each valid message has one answer if it was written in time, and one at most otherwise.
+    fn check(&self, seed: u64, received: &[Received]) {
+        for message in self.messages.iter().filter(|message| message.valid) {
+            let of_message = |received: &&Received| {
+                matches!(**received, Received::Answer(sequence) | Received::Rejected(sequence)
+                    | Received::Exception(sequence) if sequence == message.sequence)
+            };
+            let answers = received.iter().filter(of_message).count();
+            let owed = usize::from(message.end <= self.written_in_time);
+            assert_eq!(answers, owed, "seed {seed}, message {}", message.sequence);
+        }
+    }
+}
+
+/// Guards against any order of messages, replies and a close in which a request is not answered though it was written before
+/// the connection ended.
+#[test]
+fn requests_written_before_the_end_are_answered_in_random_histories() {
+    for seed in 0..HISTORIES {
+        let mut fixture = Fixture::new();
+        let mut history = History::new(seed);
+        let gateway = fixture.gateway.try_clone().unwrap();
+        let connection = fixture.connection.clone();
+        let received = fixture.serve(async {
+            history.play(&gateway, &connection).await;
+            while !connection.is_lingering() {
+                yield_now().await;
+            }
+            gateway.shutdown(Shutdown::Write).unwrap();
+        });
+        history.check(seed, &received);
+    }
+}
--- a/crates/coralstep-server/src/runs/request_handler/mod.rs
+++ b/crates/coralstep-server/src/runs/request_handler/mod.rs
@@ -48,10 +48,10 @@
             | RequestError::RunRegistered
             | RequestError::Admission(AdmissionError::KeyConflict) => Reply::Failed,
             RequestError::RequestIdsFull | RequestError::Admission(AdmissionError::TableFull) => {
-                reject_unless_run(0, earlier)
+                reject_unless_known(0, earlier)
             }
             RequestError::Quota(QuotaExhausted { retry_after_ms }) => {
-                reject_unless_run(*retry_after_ms, earlier)
+                reject_unless_known(*retry_after_ms, earlier)
             }
         }
     }
@@ -74,7 +74,7 @@
 /// Rejects an RPC of which no attempt is known; answers a repeat with the result of that attempt.
 ///
 /// Guards against a rejection, which promises that the RPC never ran, of one that has run.
-fn reject_unless_run(retry_after_ms: u64, earlier: &EarlierAttempts) -> Reply<'_> {
+fn reject_unless_known(retry_after_ms: u64, earlier: &EarlierAttempts) -> Reply<'_> {
     match earlier {
         EarlierAttempts::None => Reply::Rejected {
             retry_after_ms,
@@ -177,10 +177,10 @@
     }
 
     /// Answers an RPC that must not be started, as its connection is closing: rejects it unless an
-    /// attempt of it has run. The caller may retry on another server at once.
+    /// attempt of it is known. The caller may retry on another server at once.
     pub fn reject(&self, mut request: RpcRequest, body: &[u8], reply: impl FnOnce(Reply<'_>)) {
         let earlier = self.look_up_earlier_attempts(&mut request, body);
-        reply(reject_unless_run(0, &earlier));
+        reply(reject_unless_known(0, &earlier));
     }
 
     /// Adds the digest of `body` to `request` and looks up its idempotency key.
