Name a time to come back in rejections on closing connections

Cause: `RequestHandler::reject`, the answer to what is read on a closing connection, advised 0, which is no advice. This was so before, but hardly any request got there, since what was unread at a close was not read.

Change: it advises 1 ms, the least there is, since the server can be asked again at once on another connection. The test of the dispatcher checks it, and failed without it.

--- a/crates/coralstep-server/src/callers/dispatcher/tests.rs
+++ b/crates/coralstep-server/src/callers/dispatcher/tests.rs
@@ -14,6 +14,10 @@
 
 impl ReplyWriter for RecordingWriter {
     fn write_reply(&self, _out: &mut Vec<u8>, reply: &Reply<'_>, _status: &ServerStatus) {
+        if let Reply::Rejected { retry_after_ms, .. } = reply {
+            // Guards against a rejection on a closing connection that names no time to come back.
+            assert!(*retry_after_ms > 0);
+        }
         self.0.borrow_mut().push(Answer::from(reply));
     }
 
--- a/crates/coralstep-server/src/runs/request_handler/mod.rs
+++ b/crates/coralstep-server/src/runs/request_handler/mod.rs
@@ -26,6 +26,10 @@
 use crate::runs::request_ids::{ClaimError, IdClaim, RequestIds};
 use crate::runs::{Backend, Run, RunRequest};
 
+/// Delay in ms that a rejection on a closing connection advises: the least there is, since the server can be asked again at
+/// once on another connection.
+const CLOSING_RETRY_AFTER_MS: u64 = 1;
+
 /// Error for which an RPC is answered without a decision by the scheduler.
 #[derive(Debug, thiserror::Error)]
 enum RequestError {
@@ -180,7 +184,7 @@
     /// attempt of it is known. The caller may retry on another server at once.
     pub fn reject(&self, mut request: RpcRequest, body: &[u8], reply: impl FnOnce(Reply<'_>)) {
         let earlier = self.look_up_earlier_attempts(&mut request, body);
-        reply(reject_unless_known(0, &earlier));
+        reply(reject_unless_known(CLOSING_RETRY_AFTER_MS, &earlier));
     }
 
     /// Adds the digest of `body` to `request` and looks up its idempotency key.
