Review case 7: a non-idempotent RPC over SCGI runs twice under one id after a pause

Need: the id of a save that ran is forgotten one deadline after its start, by the time at which the next request is read. A repeat that waited unread while the process stood still is run again. Change: the case. Nothing is fixed.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -5,6 +5,7 @@
 //! CASE is the number of a case's folder, TROUBLE is 1 or 0 (without the disruption), RECORD is the file that the record is
 //! written to. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 mod case_6;
+mod case_7;
 mod scgi;
 mod world;
 
@@ -24,6 +25,7 @@
     let case = case.clone();
     let run = match case.as_str() {
         "6" => case_6::run,
+        "7" => case_7::run,
         _ => {
             eprintln!("no such case: {case}");
             exit(2);
