Review case 8: unfinished SCGI requests take more memory than the server may hold

Need: the division of the memory reckons with 16 KiB a connection whatever scgi.body_kb is. 300 clients that never end their requests take about 40 MB of a server that may hold 32 MB, and the platform kills it. Change: the case, with a stand-in for the platform's limit. Nothing is fixed.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -6,6 +6,7 @@
 //! written to. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 mod case_6;
 mod case_7;
+mod case_8;
 mod scgi;
 mod world;
 
@@ -26,6 +27,7 @@
     let run = match case.as_str() {
         "6" => case_6::run,
         "7" => case_7::run,
+        "8" => case_8::run,
         _ => {
             eprintln!("no such case: {case}");
             exit(2);
