Review case 9: what a caller still waits is not read from a gateway's request

Need: where requests state how long their caller waits, that is their due time. The server passes the field over and reckons with the class's deadline, so a run that takes long is answered after the caller has gone. Change: the case, with stand-ins for a gateway and the engine. Nothing is fixed.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -7,7 +7,10 @@
 mod case_6;
 mod case_7;
 mod case_8;
+mod case_9;
+mod engine;
 mod scgi;
+mod thrift;
 mod world;
 
 use std::panic::catch_unwind;
@@ -28,6 +31,7 @@
         "6" => case_6::run,
         "7" => case_7::run,
         "8" => case_8::run,
+        "9" => case_9::run,
         _ => {
             eprintln!("no such case: {case}");
             exit(2);
