Review case 10: a save that has run is turned away on a connection that closes

Need: a request that is read as its connection closes is rejected after a look at idempotency keys alone, not at its id. A repeat of a save that has run is answered as one that never ran. Change: the case. Nothing is fixed.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 //!
 //! CASE is the number of a case's folder, TROUBLE is 1 or 0 (without the disruption), RECORD is the file that the record is
 //! written to. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
+mod case_10;
 mod case_6;
 mod case_7;
 mod case_8;
@@ -32,6 +33,7 @@
         "7" => case_7::run,
         "8" => case_8::run,
         "9" => case_9::run,
+        "10" => case_10::run,
         _ => {
             eprintln!("no such case: {case}");
             exit(2);
