Discard requests of callers that have left, and answer half-closed SCGI callers

Callers saw: requests that a closed or reset connection had left unread were run; an SCGI caller that half-closed its connection got no reply.

Cause: what was written before the end stays readable, and the end was seen only behind it. Over SCGI an end of input was always taken for a caller that left.

The socket is polled for its end before requests are handed on. At an end of input a probe is written (closing over Thrift, the reply's first bytes over SCGI), which a closed socket answers with a reset. Half-closed connections with open requests count as active.

--- a/crates/coralstep-scgi/src/response.rs
+++ b/crates/coralstep-scgi/src/response.rs
@@ -7,6 +7,8 @@
 
 use crate::{DecodeError, Limits, decimal};
 
+/// Bytes with which [`encode`] begins every response.
+pub const START: &[u8] = b"Status: ";
 /// Status of a response that has a type but no status (RFC 3875, section 6.3.3).
 const DEFAULT_STATUS: u16 = 200;
 
@@ -36,8 +38,9 @@
 
 /// Appends a response to `out`. Names and values of `fields` must not contain line breaks.
 pub fn encode(out: &mut Vec<u8>, status: u16, fields: &[(&str, &dyn Display)], body: &[u8]) {
+    out.extend_from_slice(START);
     // Writing to a Vec cannot fail.
-    let _ = write!(out, "Status: {status} {}\r\n", reason_phrase(status));
+    let _ = write!(out, "{status} {}\r\n", reason_phrase(status));
     for (name, value) in fields {
         let _ = write!(out, "{name}: {value}\r\n");
     }
--- a/crates/coralstep-server/src/callers/connection.rs
+++ b/crates/coralstep-server/src/callers/connection.rs
@@ -12,6 +12,7 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, FutureExt};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use crate::base::outbox::Outbox;
 
@@ -24,15 +25,53 @@
 const MAX_LINGER_BYTES: usize = 64 * 1024;
 /// Time limit for writing the last replies to a peer that reads slowly.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(5_000);
-/// Time during which a caller that has half-closed its connection is assumed to wait for its replies.
-const HALF_CLOSED_GRACE: Duration = Duration::from_millis(1_000);
-/// Interval between two checks for a reset by the peer, after [`HALF_CLOSED_GRACE`].
+/// Interval between two checks for a reset by a peer that was probed.
 const RESET_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time within which a peer that has closed its socket responds to a probe with a reset: longer than a round trip on a busy
+/// machine.
+const PROBE_RESPONSE_TIME: Duration = Duration::from_millis(50);
 
-/// Message with which a protocol asks its peer to close a connection.
+/// What a protocol writes to a peer apart from replies.
 pub trait ClosingNotice: 'static {
-    /// Appends the notice to `out`; appends nothing if the protocol has none.
+    /// Appends the message that asks the peer to close the connection; appends nothing if the protocol has none.
     fn write_closing_notice(&self, out: &mut Vec<u8>);
+
+    /// Appends the bytes with which every reply begins, if the protocol has no closing notice, and returns their number.
+    ///
+    /// Either is a probe: a peer that has closed its socket responds to it with a reset, one that has only half-closed it and
+    /// waits for its replies does not.
+    fn write_reply_start(&self, out: &mut Vec<u8>) -> usize;
+
+    /// Returns the time for which a caller that has ended its input is assumed to wait for its replies before it is probed.
+    fn probe_delay(&self) -> Duration;
+}
+
+/// What is known of the peer's end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PeerState {
+    /// The peer may send more.
+    Open,
+    /// The peer has ended its input. It has closed its socket, or has half-closed it and waits for its replies.
+    InputEnded,
+    /// The connection was reset.
+    Reset,
+}
+
+/// Returns the state of the peer, which is known before its input is read.
+fn peer_state(stream: &TcpStream) -> PeerState {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    let without_waiting = Timespec::default();
+    if poll(&mut polled, Some(&without_waiting)).is_err() {
+        return PeerState::Open;
+    }
+    let events = polled[0].revents();
+    if events.intersects(PollFlags::ERR | PollFlags::HUP) {
+        PeerState::Reset
+    } else if events.contains(PollFlags::RDHUP) {
+        PeerState::InputEnded
+    } else {
+        PeerState::Open
+    }
 }
 
 /// A connection of one caller.
@@ -53,6 +92,9 @@
     pub(super) idle_since: Cell<Instant>,
     close_requested_at: Cell<Option<Instant>>,
     request_done: Event,
+    probed: Cell<bool>,
+    /// Number of bytes of the next reply that were sent as a probe.
+    reply_bytes_sent: Cell<usize>,
 }
 
 impl Connection {
@@ -73,6 +115,8 @@
             idle_since: Cell::new(Instant::now()),
             close_requested_at: Cell::new(None),
             request_done: Event::new(),
+            probed: Cell::new(false),
+            reply_bytes_sent: Cell::new(0),
         }
     }
 
@@ -127,6 +171,50 @@
         self.received_message.set(true);
     }
 
+    /// Queues the reply that `write` appends, less what of it was sent as a probe.
+    pub fn queue_reply(&self, write: impl FnOnce(&mut Vec<u8>)) {
+        let sent = self.reply_bytes_sent.take();
+        self.outbox.put(|out| {
+            let start = out.len();
+            write(out);
+            out.drain(start..start + sent);
+        });
+    }
+
+    /// Returns whether the caller has left: its connection was reset, or it has closed its socket.
+    ///
+    /// Guards against work for a caller that has left: what it wrote before stays readable.
+    pub async fn has_caller_left(&self, stream: &Async<TcpStream>) -> bool {
+        match peer_state(stream.get_ref()) {
+            PeerState::Open => false,
+            PeerState::Reset => true,
+            PeerState::InputEnded => {
+                self.probe_and_wait().await;
+                peer_state(stream.get_ref()) == PeerState::Reset
+            }
+        }
+    }
+
+    /// Probes the peer unless that was done before, and waits until it has had time to respond.
+    async fn probe_and_wait(&self) {
+        if self.probed.get() {
+            return;
+        }
+        self.probe();
+        sleep(PROBE_RESPONSE_TIME).await;
+    }
+
+    /// Writes a probe, once.
+    fn probe(&self) {
+        if !self.probed.replace(true) {
+            self.request_close();
+            self.outbox.put(|out| {
+                self.reply_bytes_sent
+                    .set(self.protocol.write_reply_start(out))
+            });
+        }
+    }
+
     /// Records a new open request.
     pub fn record_request_start(&self) {
         self.open_requests.set(self.open_requests.get() + 1);
@@ -210,8 +298,15 @@
         let read = async {
             read.await;
             self.reading_ended.set(true);
+            // Until its replies are written the connection counts as active. Guards against half-closed callers that are taken
+            // for closing ones and keep the listener from accepting others.
+            self.detect_reset(stream)
+                .or(self.wait_until_all_answered())
+                .or(self.wait_for(&self.closing))
+                .await;
             self.begin_close();
-            self.detect_reset(stream).await
+            self.detect_reset(stream).await;
+            std::future::pending().await
         };
         let aborted = async {
             self.wait_until_aborted().await;
@@ -260,20 +355,22 @@
         }
     }
 
-    /// Aborts a half-closed connection once the peer has reset it; never returns.
+    /// Aborts a half-closed connection once the peer has reset it; returns when no request is open.
     ///
-    /// Guards against work for callers that have disconnected: the closing notice makes a peer that has closed its socket
-    /// respond with a reset, but not one that has only half-closed it and waits for its replies.
-    async fn detect_reset(&self, stream: &Async<TcpStream>) -> bool {
-        Timer::after(HALF_CLOSED_GRACE).await;
+    /// Guards against work for callers that have disconnected: the probe makes a peer that has closed its socket respond with
+    /// a reset, but not one that has only half-closed it and waits for its replies.
+    async fn detect_reset(&self, stream: &Async<TcpStream>) {
+        if self.is_busy() {
+            sleep(self.protocol.probe_delay()).await;
+        }
         while self.is_busy() {
-            self.request_close();
-            Timer::after(RESET_CHECK_INTERVAL).await;
-            if !matches!(stream.get_ref().take_error(), Ok(None)) {
+            self.probe();
+            sleep(PROBE_RESPONSE_TIME).await;
+            if peer_state(stream.get_ref()) == PeerState::Reset {
                 self.abort();
             }
+            sleep(RESET_CHECK_INTERVAL).await;
         }
-        std::future::pending().await
     }
 
     /// Half-closes the connection and discards further input, up to a time and size limit.
--- a/crates/coralstep-server/src/callers/dispatcher.rs
+++ b/crates/coralstep-server/src/callers/dispatcher.rs
@@ -41,8 +41,7 @@
         }
         let status = self.scheduler.server_status();
         self.connection
-            .outbox
-            .put(|out| self.writer.write_reply(out, reply, &status));
+            .queue_reply(|out| self.writer.write_reply(out, reply, &status));
         self.replied = true;
     }
 }
@@ -51,8 +50,7 @@
     fn drop(&mut self) {
         if !self.replied {
             self.connection
-                .outbox
-                .put(|out| self.writer.write_internal_error(out));
+                .queue_reply(|out| self.writer.write_internal_error(out));
         }
         if self.writer.closes_connection() {
             self.connection.outbox.close();
--- a/crates/coralstep-server/src/callers/error.rs
+++ b/crates/coralstep-server/src/callers/error.rs
@@ -10,6 +10,9 @@
     /// The peer closed the connection in the middle of a message.
     #[error("connection closed in the middle of a message")]
     TruncatedMessage,
+    /// The peer has left: the connection was reset, or is closed on its side. What it wrote before is not carried out.
+    #[error("the caller has left")]
+    CallerLeft,
     /// A frame has length 0 or exceeds the maximum length.
     #[error("invalid frame length")]
     InvalidFrameLength,
--- a/crates/coralstep-server/src/callers/gateway/mod.rs
+++ b/crates/coralstep-server/src/callers/gateway/mod.rs
@@ -35,6 +35,10 @@
 /// Maximum size of unread replies in bytes. Above it, nothing more is read from the gateway.
 const MAX_UNREAD_REPLY_BYTES: usize = 32 * 1024;
 
+/// Time during which a gateway that has half-closed its connection is assumed to wait for its replies: a probe asks it to
+/// leave.
+const HALF_CLOSED_GRACE: Duration = Duration::from_millis(1_000);
+
 /// The gateway protocol.
 #[derive(Debug)]
 pub struct GatewayProtocol;
@@ -43,6 +47,14 @@
     fn write_closing_notice(&self, out: &mut Vec<u8>) {
         thrift::encode_closing(out);
     }
+
+    fn write_reply_start(&self, _out: &mut Vec<u8>) -> usize {
+        0
+    }
+
+    fn probe_delay(&self) -> Duration {
+        HALF_CLOSED_GRACE
+    }
 }
 
 impl Protocol for GatewayProtocol {
@@ -86,15 +98,29 @@
                 ReadOutcome::Closed | ReadOutcome::Drained => return Ok(()),
                 ReadOutcome::TimedOut => return Err(ConnectionError::TimedOut),
             }
-            let consumed = self.handle_frames(buffer.bytes()).await?;
+            self.check_caller_present(stream).await?;
+            let consumed = self.handle_frames(stream, buffer.bytes()).await?;
             if consumed > 0 {
                 buffer.consume(consumed);
             }
         }
     }
 
+    /// Guards against requests of a gateway that has left: what it wrote before stays readable.
+    async fn check_caller_present(&self, stream: &Async<TcpStream>) -> Result<(), ConnectionError> {
+        if self.connection.has_caller_left(stream).await {
+            self.connection.abort();
+            return Err(ConnectionError::CallerLeft);
+        }
+        Ok(())
+    }
+
     /// Handles all complete frames of `bytes` and returns their total size in bytes.
-    async fn handle_frames(&mut self, bytes: &[u8]) -> Result<usize, ConnectionError> {
+    async fn handle_frames(
+        &mut self,
+        stream: &Async<TcpStream>,
+        bytes: &[u8],
+    ) -> Result<usize, ConnectionError> {
         let mut consumed = 0;
         loop {
             let Ok(frame) = thrift::split_frame(&bytes[consumed..]) else {
@@ -116,6 +142,7 @@
             consumed += frame.encoded_len;
             if self.invalid_messages > invalid_before {
                 Timer::after(INVALID_MESSAGE_DELAY).await;
+                self.check_caller_present(stream).await?;
             }
         }
     }
--- a/crates/coralstep-server/src/callers/scgi/mod.rs
+++ b/crates/coralstep-server/src/callers/scgi/mod.rs
@@ -1,15 +1,17 @@
 //! The SCGI protocol: one request per connection, answered with a CGI response.
 //!
 //! The site file configures which headers contain the properties that the scheduler uses. If a caller closes its connection
-//! before the reply, its request is cancelled.
+//! before the reply, its request is cancelled; if it only half-closes it, it gets its reply.
 use std::cell::RefCell;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_io::Async;
 use coralstep_config::Names;
 use coralstep_config::site::{ScgiConfig, SiteError};
 use coralstep_scgi::request::{self, Request};
+use coralstep_scgi::response;
 use futures_lite::AsyncReadExt;
 use futures_lite::future::yield_now;
 
@@ -79,6 +81,10 @@
             }
         }
         connection.record_message();
+        if connection.has_caller_left(stream).await {
+            connection.abort();
+            return Err(ConnectionError::CallerLeft);
+        }
         let parsed = match request::decode(buffer.bytes(), &config.limits) {
             Ok(Some((request, _))) => parse_request(&request, &config, dispatcher, connection),
             Ok(None) => return Err(ConnectionError::IncompleteRequest),
@@ -102,6 +108,16 @@
 impl ClosingNotice for ScgiProtocol {
     /// SCGI has no closing notice: a connection closes after its only reply.
     fn write_closing_notice(&self, _out: &mut Vec<u8>) {}
+
+    fn write_reply_start(&self, out: &mut Vec<u8>) -> usize {
+        out.extend_from_slice(response::START);
+        response::START.len()
+    }
+
+    /// The beginning of the reply does no harm, so a caller that has left is noticed at once.
+    fn probe_delay(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 impl Protocol for ScgiProtocol {
@@ -176,9 +192,7 @@
         (503, &b"bad\n"[..])
     };
     let server_status = scheduler.server_status();
-    connection
-        .outbox
-        .put(|out| reply::encode(out, &server_status, http_status, &[], body));
+    connection.queue_reply(|out| reply::encode(out, &server_status, http_status, &[], body));
     connection.outbox.close();
 }
 
@@ -187,7 +201,7 @@
     note!(client: peer = %connection.peer, %error, "invalid request");
     let fields = [reply::plain_text()];
     let body = format!("{error}\n");
-    connection.outbox.put(|out| {
+    connection.queue_reply(|out| {
         reply::encode(
             out,
             &ServerStatus::default(),
@@ -199,9 +213,8 @@
     connection.outbox.close();
 }
 
-/// Waits until the caller closes the connection, which cancels its request if there is no reply yet.
-///
-/// Guards against a reply that is dropped because its caller has half-closed the connection before it was written.
+/// Waits until the caller ends its input. Whether it has closed the connection or only half-closed it is found out by the
+/// connection's probe.
 async fn wait_for_close(
     mut stream: &Async<TcpStream>,
     connection: &Connection,
@@ -210,8 +223,8 @@
     let mut trailing = 0;
     loop {
         match stream.read(&mut buffer).await {
-            Ok(0) if !connection.is_busy() => return Ok(()),
-            Ok(0) | Err(_) => {
+            Ok(0) => return Ok(()),
+            Err(_) => {
                 connection.abort();
                 return Ok(());
             }
--- a/crates/coralstep-server/tests/stand_ins/mod.rs
+++ b/crates/coralstep-server/tests/stand_ins/mod.rs
@@ -2,6 +2,7 @@
 //! step by step. Every read has a time limit, after which the test fails; waiting alone never decides a test.
 #![allow(dead_code)]
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -424,6 +425,30 @@
         }
     }
 
+    /// Stops the process until [`TestServer::resume`]. Guards against a process that goes on for a moment after the signal.
+    pub fn pause(&self) {
+        self.signal("STOP");
+        let start = Instant::now();
+        while !self.is_stopped() {
+            assert!(start.elapsed() < LIMIT, "the server did not stop");
+            std::thread::yield_now();
+        }
+    }
+
+    /// Returns whether all threads of the process are stopped by a signal.
+    fn is_stopped(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        threads.map_while(Result::ok).all(|thread| {
+            let stat = std::fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            stat.rsplit_once(") ")
+                .is_some_and(|(_, state)| state.starts_with('T'))
+        })
+    }
+
+    pub fn resume(&self) {
+        self.signal("CONT");
+    }
+
     pub fn terminate(&self) {
         self.signal("TERM");
     }
@@ -551,6 +576,24 @@
         }
     }
 
+    /// Answers gauge queries for `duration` and returns the ids of the runs that are started meanwhile.
+    pub fn runs_started_within(&mut self, duration: Duration) -> HashSet<String> {
+        let end = Instant::now() + duration;
+        let mut ids = HashSet::new();
+        while Instant::now() < end {
+            let line = self.line();
+            if self.gauges(&line, "0.5 1 0.1 3") {
+                continue;
+            }
+            let words: Vec<&str> = line.split(' ').collect();
+            if let ["RUN", id, _, length] = words[..] {
+                ids.insert(id.to_owned());
+                self.body(length.parse().unwrap());
+            }
+        }
+        ids
+    }
+
     /// Answers gauge queries until `text` is logged.
     pub fn serve_until_logged(&mut self, server: &TestServer, text: &str) {
         let start = Instant::now();
--- a/crates/coralstep-server/tests/stand_ins/scgi.rs
+++ b/crates/coralstep-server/tests/stand_ins/scgi.rs
@@ -114,6 +114,10 @@
     Reset(usize),
     /// Reads the request and sends nothing until the caller closes.
     Hang,
+    /// Like `Echo`, this number of milliseconds later.
+    EchoAfterMs(u64),
+    /// Like `Reply`, 300 ms later, so that many answers come at once.
+    ReplyLate(&'static str),
 }
 
 /// An application on loopback, whose behavior can be changed at any time.
@@ -199,15 +203,23 @@
     };
     received.lock().unwrap().push(body.clone());
     let behavior = *behavior.lock().unwrap();
+    if let AppBehavior::EchoAfterMs(delay_ms) = behavior {
+        std::thread::sleep(Duration::from_millis(delay_ms));
+    }
+    if let AppBehavior::ReplyLate(_) = behavior {
+        std::thread::sleep(Duration::from_millis(300));
+    }
     match behavior {
-        AppBehavior::Echo => {
+        AppBehavior::Echo | AppBehavior::EchoAfterMs(_) => {
             let head = format!(
                 "Status: 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\nran ",
                 body.len() + 4
             );
             stream.write_all(&[head.as_bytes(), &body].concat())
         }
-        AppBehavior::Reply(text) => stream.write_all(text.as_bytes()),
+        AppBehavior::Reply(text) | AppBehavior::ReplyLate(text) => {
+            stream.write_all(text.as_bytes())
+        }
         // Waits until the other end closes.
         _ => stream.read(&mut [0]).map(|_| ()),
     }
