Yield between reads of store and engine, and bound the work of accepting and shedding

Callers saw: while a store sent replies to unknown calls at full speed, no other caller had an answer; a ping took as long as the flood.

Cause: a read of a socket that has data returns at once, and the loops that read the store's reply and the engine's link had no other point to give way. Timers did not run either, so the call's own time limit did not end it.

Both loops yield before each read, listeners before each accept. Found beside it by reading, not shown: the drain's backlog was taken without a bound, and the choice of a connection to shed took work by the square of their number.

--- a/crates/coralstep-server/src/callers/connections.rs
+++ b/crates/coralstep-server/src/callers/connections.rs
@@ -11,6 +11,7 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::FutureExt;
+use futures_lite::future::yield_now;
 
 use crate::base::descriptors::Descriptors;
 use crate::base::limits::Limits;
@@ -30,6 +31,9 @@
 /// Time after the closing notice at which the server closes an idle connection itself.
 const CLOSE_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum number of connections in a listener's backlog: the system's usual limit.
+const MAX_BACKLOG: usize = 4_096;
+
 /// The connections of all protocols.
 pub struct Connections {
     executor: Rc<LocalExecutor<'static>>,
@@ -77,7 +81,11 @@
                 listener.accept().await
             };
             match accept.or(stop).await {
-                Ok((stream, address)) => self.add(stream, address.ip(), &protocol),
+                Ok((stream, address)) => {
+                    self.add(stream, address.ip(), &protocol);
+                    // Guards against clients that connect at full speed and starve all other tasks.
+                    yield_now().await;
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
                     // Guards against a busy loop: the listener stays readable while no descriptor is available.
@@ -92,8 +100,13 @@
     }
 
     /// Accepts the connections in the backlog. Guards against resets of connections whose requests were already written.
+    ///
+    /// Accepts no more than the backlog can have had. Guards against clients that keep connecting and delay the drain.
     fn drain_backlog(self: &Rc<Self>, listener: &Async<TcpListener>, protocol: &Rc<dyn Protocol>) {
-        while let Ok((stream, address)) = listener.get_ref().accept() {
+        for _ in 0..MAX_BACKLOG {
+            let Ok((stream, address)) = listener.get_ref().accept() else {
+                return;
+            };
             match Async::new(stream) {
                 Ok(stream) => self.add(stream, address.ip(), protocol),
                 Err(error) => note!(%error, "accept failed"),
@@ -175,12 +188,17 @@
         let connections = self.connections.borrow();
         let is_idle =
             |connection: &&Rc<Connection>| !connection.is_busy() && !connection.is_closing();
-        let silent_of_protocol = |of: &Connection| {
+        let silent = count_by_protocol(
             connections
                 .iter()
                 .filter(is_idle)
-                .filter(|other| !other.has_received_message() && other.has_same_protocol(of))
-                .count()
+                .filter(|connection| !connection.has_received_message()),
+        );
+        let silent_of_protocol = |of: &Connection| {
+            silent
+                .iter()
+                .find(|(connection, _)| connection.has_same_protocol(of))
+                .map_or(0, |(_, count)| *count)
         };
         let now = Instant::now();
         let victim = connections.iter().filter(is_idle).min_by_key(|connection| {
@@ -336,5 +354,24 @@
     }
 }
 
+/// Returns one connection of each protocol, and the number of that protocol's connections.
+///
+/// Guards against work that grows with the square of the number of connections.
+fn count_by_protocol<'a>(
+    connections: impl Iterator<Item = &'a Rc<Connection>>,
+) -> Vec<(&'a Connection, usize)> {
+    let mut counts: Vec<(&Connection, usize)> = Vec::new();
+    for connection in connections {
+        let known = counts
+            .iter_mut()
+            .find(|(known, _)| known.has_same_protocol(connection));
+        match known {
+            Some((_, count)) => *count += 1,
+            None => counts.push((connection, 1)),
+        }
+    }
+    counts
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/coralstep-server/src/dependency/store.rs
+++ b/crates/coralstep-server/src/dependency/store.rs
@@ -157,6 +157,8 @@
             // `decode` rejects messages that exceed the length limit, which bounds the buffer.
             buffer.resize(2 * filled, 0);
         }
+        // Guards against a store that sends without pause and starves all other tasks and timers.
+        yield_now().await;
         match stream.read(&mut buffer[filled..]).await? {
             0 => return Err(io::ErrorKind::UnexpectedEof.into()),
             count => filled += count,
--- a/crates/coralstep-server/src/operators/ops.rs
+++ b/crates/coralstep-server/src/operators/ops.rs
@@ -14,6 +14,7 @@
 use coralstep_fleet::audit::AuditFilter;
 use coralstep_fleet::fleet::Publication;
 use coralstep_fleet::versions::ParseVersionIdError;
+use futures_lite::future::yield_now;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -157,6 +158,8 @@
                     .await
                     .map(|(stream, _)| Box::new(stream) as Box<dyn OperatorStream>),
             };
+            // Guards against clients that connect at full speed and starve all other tasks.
+            yield_now().await;
             match accepted {
                 Ok(_) if self.open_connections.get() >= MAX_CONNECTIONS => {}
                 Ok(stream) => {
--- a/crates/coralstep-server/src/runs/engine/connection.rs
+++ b/crates/coralstep-server/src/runs/engine/connection.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
+use futures_lite::future::yield_now;
 use futures_lite::{AsyncReadExt, FutureExt};
 
 use crate::base::backoff::Backoff;
@@ -176,6 +177,8 @@
             if filled == buffer.len() {
                 return LinkError::MessageTooLong;
             }
+            // Guards against an engine that sends without pause and starves all other tasks and timers.
+            yield_now().await;
             match stream.read(&mut buffer[filled..]).await {
                 Ok(0) => return io::Error::from(io::ErrorKind::UnexpectedEof).into(),
                 Ok(count) => filled += count,
--- a/crates/coralstep-server/tests/stand_ins/mod.rs
+++ b/crates/coralstep-server/tests/stand_ins/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod engine;
 pub mod golden;
+pub mod observers;
 pub mod scgi;
 
 /// Maximum time that a single step of a test may take.
@@ -490,6 +491,11 @@
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Writes to the connection; returns whether that succeeded.
+    pub fn try_send(&mut self, text: &str) -> bool {
+        self.0.get_mut().write_all(text.as_bytes()).is_ok()
+    }
+
     pub fn line(&mut self) -> String {
         let mut line = String::new();
         self.0.read_line(&mut line).unwrap();
