Bound receive buffers, open requests, responses and unread replies by budgets of memory

Callers saw: 300 unfinished requests of 64 KB over SCGI took 43 MB of a server that may hold 32 MB; it was killed with all that it had read.

Cause: a receive buffer doubled up to the longest request that the site file allows, and nothing bounded the buffers of all connections together. Bodies of open requests and responses of applications had no budget in bytes either.

Each of these now reserves its memory from a budget out of memory_mb: a message or a response whole, by its stated length, in turn; open requests past it are rejected. While somebody waits, what has made no progress is ended. A gateway with unread replies is read on only once it has read them.

--- a/crates/coralstep-scgi/src/request.rs
+++ b/crates/coralstep-scgi/src/request.rs
@@ -10,6 +10,10 @@
 const PROTOCOL: Header<'static> = ("SCGI", b"1");
 /// Initial capacity for headers; most requests have no more.
 const INITIAL_HEADER_CAPACITY: usize = 16;
+/// Maximum size of the length prefix and its colon in bytes.
+const MAX_PREFIX_BYTES: usize = 24;
+/// Maximum size of the first header in bytes, if it is valid: its name, a length, and both terminators.
+const MAX_LENGTH_HEADER_BYTES: usize = 40;
 /// Bytes reserved for the length prefix, colon and comma of a netstring.
 const NETSTRING_OVERHEAD: usize = 8;
 
@@ -53,6 +57,34 @@
     Ok(Some(head.body_start + body_len))
 }
 
+/// Returns the size in bytes that the request at the start of `bytes` states, or `None` until its length prefix and first header
+/// are there.
+///
+/// Where the first header is invalid or exceeds `limits` it is the size of the headers, after which [`encoded_len`] reports the
+/// error.
+pub fn stated_len(bytes: &[u8], limits: &Limits) -> Option<usize> {
+    let prefix = &bytes[..bytes.len().min(MAX_PREFIX_BYTES)];
+    let colon = prefix.iter().position(|byte| *byte == b':')?;
+    let head_len = decimal::parse(&bytes[..colon])?;
+    if head_len > limits.max_head_bytes as u64 {
+        return None;
+    }
+    let head = &bytes[colon + 1..];
+    if head.len() < MAX_LENGTH_HEADER_BYTES.min(head_len as usize) {
+        return None;
+    }
+    let body_start = colon + 1 + head_len as usize + 1;
+    Some(body_start + stated_body_len(head, limits).unwrap_or(0))
+}
+
+/// Returns the length of the body in bytes that the first header in `head` states, if it is complete and valid.
+fn stated_body_len(mut head: &[u8], limits: &Limits) -> Option<usize> {
+    let name = take_string(&mut head)?;
+    let length = decimal::parse(take_string(&mut head)?)?;
+    let is_valid = name == CONTENT_LENGTH.as_bytes() && length <= limits.max_body_bytes as u64;
+    is_valid.then_some(length as usize)
+}
+
 /// Decodes the request that `bytes` begins with. Returns it with its size in bytes, or `None` if it is incomplete.
 ///
 /// Bytes after the request are ignored, since a connection carries one request. Until the headers are complete, a call reads
--- a/crates/coralstep-scgi/tests/codec.rs
+++ b/crates/coralstep-scgi/tests/codec.rs
@@ -24,6 +24,41 @@
     format!("{}:{headers},{body}", headers.len()).into_bytes()
 }
 
+/// Guards against a receive buffer that is too small for a request, or grows again while the request arrives.
+#[test]
+fn stated_length_is_that_of_the_whole_request_once_known() {
+    let bytes = sample();
+    let stated: Vec<Option<usize>> = (0..=bytes.len())
+        .map(|cut| request::stated_len(&bytes[..cut], &LIMITS))
+        .collect();
+    let known = stated.iter().position(Option::is_some).unwrap();
+    assert!(known < 48, "{known}");
+    assert!(
+        stated[known..]
+            .iter()
+            .all(|length| *length == Some(bytes.len()))
+    );
+}
+
+/// Guards against a request with an invalid first header that is never read to the end of its headers, and so never answered.
+#[test]
+fn stated_length_of_invalid_request_is_that_of_its_headers() {
+    for headers in [
+        "SCGI\x001\0CONTENT_LENGTH\x005\0",
+        "CONTENT_LENGTH\x00none\0SCGI\x001\0",
+        "CONTENT_LENGTH\x00201\0SCGI\x001\0",
+        &"x".repeat(100),
+    ] {
+        let bytes = raw(headers, "");
+        let stated = request::stated_len(&bytes, &LIMITS);
+        assert_eq!(stated, Some(bytes.len()), "{headers:?}");
+        assert!(request::encoded_len(&bytes, &LIMITS).is_err());
+    }
+    let too_long = format!("{}:", LIMITS.max_head_bytes + 1).into_bytes();
+    assert_eq!(request::stated_len(&too_long, &LIMITS), None);
+    assert!(request::encoded_len(&too_long, &LIMITS).is_err());
+}
+
 #[test]
 fn decodes_request_only_when_complete() {
     let bytes = sample();
--- a/crates/coralstep-server/benches/front.rs
+++ b/crates/coralstep-server/benches/front.rs
@@ -17,6 +17,7 @@
 use coralstep_server::base::descriptors::Descriptors;
 use coralstep_server::base::endpoints::{Endpoint, Endpoints};
 use coralstep_server::base::limits::Limits;
+use coralstep_server::base::memory_budget::MemoryBudgets;
 use coralstep_server::base::request_id::RequestId;
 use coralstep_server::callers::connections::Connections;
 use coralstep_server::callers::gateway::GatewayProtocol;
@@ -134,7 +135,9 @@
     let limits = Limits {
         connections: 512,
         spare_connections: 32,
+        receive_bytes: 1 << 20,
         unread_reply_bytes: 1 << 20,
+        request_bytes: 1 << 20,
         requests: 1024,
         result_bytes: 1 << 20,
         request_ids: 1 << 16,
@@ -161,6 +164,7 @@
         handler,
         descriptors,
         limits,
+        MemoryBudgets::new(&limits),
     ));
     let site = site_config();
     let scgi_config: &ScgiConfig = site.scgi.as_ref().expect("section scgi");
--- a/crates/coralstep-server/src/app.rs
+++ b/crates/coralstep-server/src/app.rs
@@ -16,6 +16,7 @@
 use crate::base::config::{Config, ConfigFiles};
 use crate::base::endpoints::Endpoints;
 use crate::base::log;
+use crate::base::memory_budget::MemoryBudgets;
 use crate::callers::connections::Connections;
 use crate::callers::gateway::GatewayProtocol;
 use crate::callers::protocol::Protocol;
@@ -78,7 +79,8 @@
         let scheduler = Rc::new(build_scheduler(&config)?);
         let endpoints = Rc::new(Endpoints::new(&config));
         let engine = Rc::new(Engine::default());
-        let applications = build_applications(&config, &executor, &endpoints);
+        let budgets = MemoryBudgets::new(&config.limits);
+        let applications = build_applications(&config, &executor, &endpoints, &budgets);
         let backend: Rc<dyn Backend> = match &applications {
             Some(applications) => applications.clone(),
             None => engine.clone(),
@@ -95,6 +97,7 @@
             handler,
             endpoints.descriptors.clone(),
             config.limits,
+            budgets,
         ));
         let scgi = build_scgi(&config)?;
         // All ports are bound before any address is logged. Guards against an operator who reads an address in the log and
@@ -279,10 +282,17 @@
     config: &Config,
     executor: &Rc<LocalExecutor<'static>>,
     endpoints: &Endpoints,
+    budgets: &MemoryBudgets,
 ) -> Option<Rc<Applications>> {
     let section = config.site.applications.as_ref()?;
     let descriptors = endpoints.descriptors.clone();
-    let applications = Applications::new(executor.clone(), descriptors, section, config.seed);
+    let applications = Applications::new(
+        executor.clone(),
+        descriptors,
+        budgets.replies.clone(),
+        section,
+        config.seed,
+    );
     Some(Rc::new(applications))
 }
 
--- a/crates/coralstep-server/src/base/mod.rs
+++ b/crates/coralstep-server/src/base/mod.rs
@@ -7,5 +7,6 @@
 pub mod limits;
 pub mod line_codec;
 pub mod log;
+pub mod memory_budget;
 pub mod outbox;
 pub mod request_id;
--- a/crates/coralstep-server/src/base/outbox.rs
+++ b/crates/coralstep-server/src/base/outbox.rs
@@ -2,15 +2,21 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::TcpStream;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
+use crate::base::memory_budget::{MemoryBudget, Reservation};
+
 /// A write fails if the peer reads nothing for this long. Longer than any expected pause of the machine.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Capacity in bytes that a buffer keeps once its messages are written.
+const KEPT_CAPACITY_BYTES: usize = 4 * 1024;
+
 /// Queue of encoded messages to one peer.
 #[derive(Debug, Default)]
 pub struct Outbox {
@@ -22,17 +28,40 @@
     /// Bytes written to the socket since creation.
     total_written: Cell<u64>,
     closed: Cell<bool>,
+    /// Time of the last write, or of the first message after all were written.
+    last_progress: Cell<Option<Instant>>,
+    /// Memory of the unsent bytes, if they count towards a budget.
+    reservation: RefCell<Option<Reservation>>,
 }
 
 impl Outbox {
+    /// Creates an outbox whose unsent bytes count towards `budget`.
+    pub fn with_budget(budget: &Rc<MemoryBudget>) -> Outbox {
+        Outbox {
+            reservation: RefCell::new(Some(budget.reserve_unchecked(0))),
+            ..Outbox::default()
+        }
+    }
+
+    fn update_reservation(&self) {
+        if let Some(reservation) = self.reservation.borrow_mut().as_mut() {
+            reservation.resize(self.unsent_bytes());
+        }
+    }
+
     /// Queues a message that `write` appends, and returns its byte position for [`Outbox::may_have_been_sent`].
     pub fn put(&self, write: impl FnOnce(&mut Vec<u8>)) -> u64 {
         let position = self.total_queued.get();
         let mut pending = self.pending.borrow_mut();
+        if self.unsent_bytes() == 0 {
+            self.last_progress.set(Some(Instant::now()));
+        }
         let before = pending.len();
         write(&mut pending);
         let added = (pending.len() - before) as u64;
         self.total_queued.set(position + added);
+        drop(pending);
+        self.update_reservation();
         self.added.notify(1);
         position
     }
@@ -47,6 +76,13 @@
         (self.total_queued.get() - self.total_written.get()) as usize
     }
 
+    /// Returns whether bytes are unsent and the peer has taken none for `duration` before `now`.
+    pub fn is_stalled(&self, now: Instant, duration: Duration) -> bool {
+        let last_progress = self.last_progress.get();
+        self.unsent_bytes() > 0
+            && last_progress.is_some_and(|last| now.saturating_duration_since(last) >= duration)
+    }
+
     /// Closes the outbox: writing ends once all pending bytes are written.
     pub fn close(&self) {
         self.closed.set(true);
@@ -85,7 +121,9 @@
         while self.wait_for_pending().await {
             std::mem::swap(&mut batch, &mut self.pending.borrow_mut());
             self.write_batch(&batch, stream, timeout).await?;
+            // Guards against idle connections that keep the memory of their largest replies.
             batch.clear();
+            batch.shrink_to(KEPT_CAPACITY_BYTES);
         }
         Ok(())
     }
@@ -123,6 +161,8 @@
             remaining = &remaining[count..];
             self.total_written
                 .set(self.total_written.get() + count as u64);
+            self.last_progress.set(Some(Instant::now()));
+            self.update_reservation();
             self.progressed.notify(usize::MAX);
         }
         Ok(())
--- a/crates/coralstep-server/src/callers/connection.rs
+++ b/crates/coralstep-server/src/callers/connection.rs
@@ -14,6 +14,7 @@
 use futures_lite::{AsyncReadExt, FutureExt};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
+use crate::base::memory_budget::MemoryBudget;
 use crate::base::outbox::Outbox;
 
 /// Time limit for reading from a half-closed connection.
@@ -98,12 +99,16 @@
 }
 
 impl Connection {
-    /// Creates the state of a connection that was just accepted from `peer`.
-    pub fn new(protocol: Rc<dyn ClosingNotice>, peer: IpAddr) -> Connection {
+    /// Creates the state of a connection that was just accepted from `peer`. Its unread replies count towards `replies`.
+    pub fn new(
+        protocol: Rc<dyn ClosingNotice>,
+        peer: IpAddr,
+        replies: &Rc<MemoryBudget>,
+    ) -> Connection {
         Connection {
             protocol,
             peer,
-            outbox: Outbox::default(),
+            outbox: Outbox::with_budget(replies),
             open_requests: Cell::new(0),
             received_message: Cell::new(false),
             served_request: Cell::new(false),
--- a/crates/coralstep-server/src/callers/connections.rs
+++ b/crates/coralstep-server/src/callers/connections.rs
@@ -15,6 +15,7 @@
 
 use crate::base::descriptors::Descriptors;
 use crate::base::limits::Limits;
+use crate::base::memory_budget::MemoryBudgets;
 use crate::callers::connection::{ClosingNotice, Connection, sleep};
 use crate::callers::dispatcher::RequestDispatcher;
 use crate::callers::protocol::Protocol;
@@ -31,6 +32,8 @@
 /// Time after the closing notice at which the server closes an idle connection itself.
 const CLOSE_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after which a caller that reads none of its replies is closed while responses wait for their memory.
+const STALLED_READER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of connections in a listener's backlog: the system's usual limit.
 const MAX_BACKLOG: usize = 4_096;
 
@@ -40,6 +43,7 @@
     dispatcher: RequestDispatcher,
     descriptors: Rc<Descriptors>,
     limits: Limits,
+    budgets: MemoryBudgets,
     connections: RefCell<Vec<Rc<Connection>>>,
     stopped_accepting: Cell<bool>,
     accept_stopped: Event,
@@ -47,17 +51,25 @@
 }
 
 impl Connections {
-    /// Creates an empty set of connections, whose tasks run on `executor` and whose requests go to `handler`.
+    /// Creates an empty set of connections, whose tasks run on `executor` and whose requests go to `handler`. What is held for
+    /// their callers counts towards `budgets`.
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         scheduler: Rc<SchedulerHandle>,
         handler: Rc<RequestHandler>,
         descriptors: Rc<Descriptors>,
         limits: Limits,
+        budgets: MemoryBudgets,
     ) -> Connections {
         Connections {
-            dispatcher: RequestDispatcher::new(executor.clone(), scheduler, handler),
+            dispatcher: RequestDispatcher::new(
+                executor.clone(),
+                scheduler,
+                handler,
+                budgets.clone(),
+            ),
             executor,
+            budgets,
             descriptors,
             limits,
             connections: RefCell::default(),
@@ -234,7 +246,11 @@
     /// Adds an accepted connection and spawns the task that serves it.
     fn add(self: &Rc<Self>, stream: Async<TcpStream>, peer: IpAddr, protocol: &Rc<dyn Protocol>) {
         let _ = stream.get_ref().set_nodelay(true);
-        let connection = Rc::new(Connection::new(protocol.clone(), peer));
+        let connection = Rc::new(Connection::new(
+            protocol.clone(),
+            peer,
+            &self.budgets.replies,
+        ));
         if self.active_count() >= self.limits.connections || self.descriptors.is_reserved(&stream) {
             note!(client: %peer, "connection table full");
             if !self.shed_idle_connection() {
@@ -287,6 +303,7 @@
             Timer::after(SWEEP_INTERVAL).await;
             self.close_idle(Instant::now());
             self.enforce_unread_reply_limit();
+            self.close_stalled_reader(Instant::now());
         }
     }
 
@@ -327,6 +344,24 @@
         }
     }
 
+    /// Closes the connection with the most unread replies, if its caller reads none while responses wait for their memory.
+    ///
+    /// Guards against callers that don't read their replies and keep others from theirs.
+    fn close_stalled_reader(&self, now: Instant) {
+        if !self.budgets.replies.is_contended() {
+            return;
+        }
+        let connections = self.connections.borrow();
+        let stalled = connections
+            .iter()
+            .filter(|connection| connection.outbox.is_stalled(now, STALLED_READER_TIMEOUT))
+            .max_by_key(|connection| connection.outbox.unsent_bytes());
+        if let Some(stalled) = stalled {
+            note!(peer = %stalled.peer, "replies not read while others wait for their memory, closing connection");
+            stalled.abort();
+        }
+    }
+
     /// Stops accepting and asks all callers to close their connections.
     pub fn stop_accepting(&self) {
         self.stopped_accepting.set(true);
--- a/crates/coralstep-server/src/callers/connections/tests.rs
+++ b/crates/coralstep-server/src/callers/connections/tests.rs
@@ -11,7 +11,9 @@
     let limits = Limits {
         connections: 3,
         spare_connections: 1,
+        receive_bytes: 1 << 20,
         unread_reply_bytes: 100,
+        request_bytes: 1 << 20,
         requests: 1,
         result_bytes: 1,
         request_ids: 1,
@@ -42,6 +44,7 @@
         handler,
         descriptors,
         limits,
+        MemoryBudgets::new(&limits),
     )
 }
 
@@ -51,6 +54,7 @@
         Rc::new(Connection::new(
             protocol.clone(),
             IpAddr::from([127, 0, 0, 1]),
+            &connections.budgets.replies,
         ))
     };
     let added: Vec<_> = (0..count).map(new_connection).collect();
--- a/crates/coralstep-server/src/callers/dispatcher.rs
+++ b/crates/coralstep-server/src/callers/dispatcher.rs
@@ -5,13 +5,14 @@
 use async_executor::LocalExecutor;
 use futures_lite::FutureExt;
 
+use crate::base::memory_budget::MemoryBudgets;
 use crate::base::request_id::RequestId;
 use crate::callers::connection::Connection;
 use crate::callers::reply_writer::ReplyWriter;
 use crate::decisions::{RpcRequest, SchedulerHandle};
 use crate::note;
 use crate::runs::reply::Reply;
-use crate::runs::request_handler::RequestHandler;
+use crate::runs::request_handler::{ReceivedBody, RequestHandler};
 
 /// A request that a protocol has parsed.
 #[derive(Debug)]
@@ -21,7 +22,7 @@
     /// The request's id.
     pub id: RequestId,
     /// The request's body.
-    pub body: Vec<u8>,
+    pub body: ReceivedBody,
 }
 
 /// A request without a reply.
@@ -66,19 +67,23 @@
     pub scheduler: Rc<SchedulerHandle>,
     /// Serves each request until its reply.
     pub handler: Rc<RequestHandler>,
+    /// Used by protocols for what they hold for their callers.
+    pub budgets: MemoryBudgets,
 }
 
 impl RequestDispatcher {
-    /// Creates a dispatcher whose tasks run on `executor`.
+    /// Creates a dispatcher whose tasks run on `executor`. Its requests count towards `budgets`.
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         scheduler: Rc<SchedulerHandle>,
         handler: Rc<RequestHandler>,
+        budgets: MemoryBudgets,
     ) -> RequestDispatcher {
         RequestDispatcher {
             executor,
             scheduler,
             handler,
+            budgets,
         }
     }
 
@@ -101,7 +106,7 @@
             // Guards against work whose reply may no longer be delivered.
             return self
                 .handler
-                .reject(request, &body, |reply| open.reply(&reply));
+                .reject(request, &body.bytes, |reply| open.reply(&reply));
         }
         let (handler, connection) = (self.handler.clone(), connection.clone());
         let task = async move {
--- a/crates/coralstep-server/src/callers/dispatcher/tests.rs
+++ b/crates/coralstep-server/src/callers/dispatcher/tests.rs
@@ -32,7 +32,8 @@
 
 fn new_connection() -> Rc<Connection> {
     let peer = IpAddr::from([127, 0, 0, 1]);
-    Rc::new(Connection::new(Rc::new(GatewayProtocol), peer))
+    let replies = MemoryBudgets::new(&limits()).replies;
+    Rc::new(Connection::new(Rc::new(GatewayProtocol), peer, &replies))
 }
 
 /// Guards against a repeat that is rejected as never run because its connection is closing.
@@ -44,6 +45,7 @@
         executor.clone(),
         server.scheduler.clone(),
         server.handler.clone(),
+        MemoryBudgets::new(&limits()),
     );
     let (open, closing) = (new_connection(), new_connection());
     closing.begin_close();
@@ -52,7 +54,7 @@
         let incoming = IncomingRequest {
             request: request(key),
             id: server.next_id(),
-            body: b"body".to_vec(),
+            body: b"body".to_vec().into(),
         };
         dispatcher.dispatch(incoming, connection, replies.clone());
         while executor.try_tick() {}
--- a/crates/coralstep-server/src/callers/gateway/mod.rs
+++ b/crates/coralstep-server/src/callers/gateway/mod.rs
@@ -87,13 +87,11 @@
 impl Session<'_> {
     /// Reads until the gateway disconnects, the connection has closed, or its input can't be split into messages.
     async fn run(mut self, stream: &Async<TcpStream>) -> Result<(), ConnectionError> {
-        let mut buffer = ReadBuffer::new();
+        let mut buffer = ReadBuffer::new(&self.dispatcher.budgets.receive);
         loop {
-            self.connection
-                .outbox
-                .wait_until_unsent_at_most(MAX_UNREAD_REPLY_BYTES)
-                .await;
-            match buffer.read(stream, self.connection).await? {
+            self.wait_for_unread_replies().await;
+            let message_len = thrift::stated_len(buffer.bytes());
+            match buffer.read(stream, self.connection, message_len).await? {
                 ReadOutcome::Data => {}
                 ReadOutcome::Closed | ReadOutcome::Drained => return Ok(()),
                 ReadOutcome::TimedOut => return Err(ConnectionError::TimedOut),
@@ -115,6 +113,17 @@
         Ok(())
     }
 
+    /// Waits until the gateway has read most of its replies; all of them if unread replies have used up their memory.
+    async fn wait_for_unread_replies(&self) {
+        let outbox = &self.connection.outbox;
+        outbox
+            .wait_until_unsent_at_most(MAX_UNREAD_REPLY_BYTES)
+            .await;
+        if self.dispatcher.budgets.replies.is_exhausted() {
+            outbox.wait_until_unsent_at_most(0).await;
+        }
+    }
+
     /// Handles all complete frames of `bytes` and returns their total size in bytes.
     async fn handle_frames(
         &mut self,
--- a/crates/coralstep-server/src/callers/gateway/request_parser.rs
+++ b/crates/coralstep-server/src/callers/gateway/request_parser.rs
@@ -89,7 +89,7 @@
         Ok(IncomingRequest {
             request,
             id,
-            body: body.to_vec(),
+            body: body.to_vec().into(),
         })
     }
 }
--- a/crates/coralstep-server/src/callers/gateway/tests.rs
+++ b/crates/coralstep-server/src/callers/gateway/tests.rs
@@ -10,6 +10,7 @@
 use nanorand::{Rng, WyRand};
 
 use super::*;
+use crate::base::memory_budget::MemoryBudgets;
 use crate::callers::thrift::tests::{encode_invoke, encode_ping, reply_field};
 use crate::runs::request_handler::tests::fixture::{LONG_WINDOW, Server, limits};
 
@@ -74,16 +75,19 @@
         let stream = Async::new(listener.accept().unwrap().0).unwrap();
         let server = Server::new(limits(), LONG_WINDOW);
         let executor = Rc::new(LocalExecutor::new());
+        let budgets = MemoryBudgets::new(&limits());
+        let replies = budgets.replies.clone();
         let dispatcher = RequestDispatcher::new(
             executor.clone(),
             server.scheduler.clone(),
             server.handler.clone(),
+            budgets,
         );
         let peer = IpAddr::from([127, 0, 0, 1]);
         Fixture {
             gateway,
             stream,
-            connection: Rc::new(Connection::new(Rc::new(GatewayProtocol), peer)),
+            connection: Rc::new(Connection::new(Rc::new(GatewayProtocol), peer, &replies)),
             executor,
             dispatcher,
             server,
--- a/crates/coralstep-server/src/callers/read_buffer.rs
+++ b/crates/coralstep-server/src/callers/read_buffer.rs
@@ -2,13 +2,15 @@
 use std::cell::Cell;
 use std::io;
 use std::net::TcpStream;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncReadExt, FutureExt};
 
-use crate::callers::connection::Connection;
+use crate::base::memory_budget::{MemoryBudget, Reservation};
+use crate::callers::connection::{Connection, sleep};
 use crate::callers::error::ConnectionError;
 use crate::note;
 
@@ -17,7 +19,11 @@
 ///
 /// Guards against clients that send nothing and against messages that are never completed.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The buffer's initial size in bytes.
+/// Time without input after which a message is overdue while others wait for its memory.
+const STALLED_MESSAGE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum time for which a message waits unread for memory.
+const MEMORY_TIMEOUT: Duration = Duration::from_secs(5);
+/// The buffer's initial size in bytes, which every connection has. Enough for the start of a message, which states its length.
 const INITIAL_CAPACITY_BYTES: usize = 4 * 1024;
 
 /// Result of a read.
@@ -41,10 +47,18 @@
 }
 
 /// Bytes received on one connection that are not decoded yet.
+///
+/// Beyond its initial size the buffer grows to the length of the message that it begins with, once the budget has that much.
+/// Guards against receive buffers of all connections that together exceed the memory. The whole message is reserved at once:
+/// guards against messages that have half of their memory each and wait for one another.
 #[derive(Debug)]
 pub struct ReadBuffer {
     bytes: Vec<u8>,
     filled: usize,
+    budget: Rc<MemoryBudget>,
+    /// Memory beyond the initial size.
+    reservation: Option<Reservation>,
+    last_input: Instant,
     /// Start of the wait for the current message.
     waiting_since: Instant,
     /// Whether it was logged that the current message is overdue.
@@ -52,9 +66,12 @@
 }
 
 impl ReadBuffer {
-    /// Creates an empty buffer. The timeout of the first message starts now.
-    pub fn new() -> ReadBuffer {
+    /// Creates an empty buffer that may grow within `budget`. The timeout of the first message starts now.
+    pub fn new(budget: &Rc<MemoryBudget>) -> ReadBuffer {
         ReadBuffer {
+            budget: budget.clone(),
+            reservation: None,
+            last_input: Instant::now(),
             bytes: vec![0; INITIAL_CAPACITY_BYTES],
             filled: 0,
             waiting_since: Instant::now(),
@@ -75,11 +92,51 @@
         self.overdue_logged.set(false);
         if self.filled == 0 && self.bytes.len() > INITIAL_CAPACITY_BYTES {
             self.bytes = vec![0; INITIAL_CAPACITY_BYTES];
+            self.reservation = None;
+        }
+    }
+
+    /// Makes room for the message that the buffer begins with, of `message_len` bytes, waiting for memory if there is too
+    /// little. Returns why the message is not read, or `None` once there is room.
+    ///
+    /// The time until then doesn't count towards the message's timeout: its caller can't help it.
+    async fn make_room(
+        &mut self,
+        message_len: usize,
+        connection: &Connection,
+    ) -> Option<ReadOutcome> {
+        if message_len <= self.bytes.len() {
+            return None;
+        }
+        let reserved = async { Ok(self.budget.reserve(message_len).await) };
+        let expired = async {
+            sleep(MEMORY_TIMEOUT).await;
+            connection.close_when_answered().await;
+            Err(ReadOutcome::TimedOut)
+        };
+        let drained = async {
+            connection.wait_until_drained().await;
+            Err(ReadOutcome::Drained)
+        };
+        match reserved.or(expired).or(drained).await {
+            Ok(reservation) => self.reservation = Some(reservation),
+            Err(outcome) => return Some(outcome),
         }
+        self.bytes.reserve_exact(message_len - self.bytes.len());
+        self.bytes.resize(message_len, 0);
+        self.waiting_since = Instant::now();
+        self.last_input = Instant::now();
+        None
+    }
+
+    /// Returns the reserved memory, once the buffer is no longer needed.
+    pub fn take_reservation(&mut self) -> Option<Reservation> {
+        self.reservation.take()
     }
 
-    /// Reads once. Between messages the wait has no time limit; once a message has begun, the timeout applies. A connection
-    /// whose message is overdue is read until its open requests are answered.
+    /// Reads once. `message_len` is the stated length of the message that the buffer begins with, if it is known. Between
+    /// messages the wait has no time limit; once a message has begun, the timeout applies. A connection whose message is
+    /// overdue is read until its open requests are answered.
     ///
     /// # Errors
     /// Fails if the socket fails or the peer closes the connection in the middle of a message.
@@ -87,17 +144,28 @@
         &mut self,
         mut stream: &Async<TcpStream>,
         connection: &Connection,
+        message_len: Option<usize>,
     ) -> Result<ReadOutcome, ConnectionError> {
+        if let Some(outcome) = self.make_room(message_len.unwrap_or(0), connection).await {
+            return Ok(outcome);
+        }
         // Guards against a caller that sends without pause and starves other tasks and timers. Yields before the read, since
         // input must be handled right after it is read, before the connection may be closed.
         yield_now().await;
-        if self.filled == self.bytes.len() {
-            self.bytes.resize(2 * self.filled, 0);
-        }
         let between_messages = self.filled == 0 && connection.has_received_message();
+        let stalled = async {
+            if self.reservation.is_none() {
+                std::future::pending::<()>().await;
+            }
+            self.budget
+                .wait_until_stalled(self.last_input, STALLED_MESSAGE_TIMEOUT)
+                .await;
+        };
         let input = async { ReadEvent::Input(stream.read(&mut self.bytes[self.filled..]).await) };
         let overdue = async {
-            wait_until_overdue(between_messages, self.waiting_since).await;
+            wait_until_overdue(between_messages, self.waiting_since)
+                .or(stalled)
+                .await;
             close_overdue(connection, &self.overdue_logged).await;
             ReadEvent::Overdue
         };
@@ -114,6 +182,7 @@
                     self.waiting_since = Instant::now();
                 }
                 self.filled += count;
+                self.last_input = Instant::now();
                 Ok(ReadOutcome::Data)
             }
             ReadEvent::Input(Err(error)) => {
@@ -146,9 +215,3 @@
     }
     connection.close_when_answered().await;
 }
-
-impl Default for ReadBuffer {
-    fn default() -> ReadBuffer {
-        ReadBuffer::new()
-    }
-}
--- a/crates/coralstep-server/src/callers/scgi/mod.rs
+++ b/crates/coralstep-server/src/callers/scgi/mod.rs
@@ -71,7 +71,7 @@
         connection: &Rc<Connection>,
     ) -> Result<(), ConnectionError> {
         let config = self.config.borrow().clone();
-        let mut buffer = ReadBuffer::new();
+        let mut buffer = ReadBuffer::new(&dispatcher.budgets.receive);
         match receive_request(&mut buffer, &config, stream, connection).await? {
             ReceiveOutcome::Request => {}
             ReceiveOutcome::Closed => return Ok(()),
@@ -92,7 +92,8 @@
         };
         match parsed {
             Ok(ParsedRequest::HealthCheck) => answer_health(connection, &dispatcher.scheduler),
-            Ok(ParsedRequest::Rpc(incoming)) => {
+            Ok(ParsedRequest::Rpc(mut incoming)) => {
+                incoming.body.receive_memory = buffer.take_reservation();
                 dispatcher.dispatch(incoming, connection, ScgiReplyWriter);
             }
             Err(error) => {
@@ -160,7 +161,8 @@
         if encoded_len.is_some_and(|needed| buffer.bytes().len() >= needed) {
             return Ok(ReceiveOutcome::Request);
         }
-        match buffer.read(stream, connection).await? {
+        let stated_len = request::stated_len(buffer.bytes(), &config.limits);
+        match buffer.read(stream, connection, stated_len).await? {
             ReadOutcome::Data => {}
             ReadOutcome::Closed | ReadOutcome::Drained => return Ok(ReceiveOutcome::Closed),
             ReadOutcome::TimedOut => return Ok(ReceiveOutcome::Invalid(RequestError::TimedOut)),
--- a/crates/coralstep-server/src/callers/scgi/request_parser.rs
+++ b/crates/coralstep-server/src/callers/scgi/request_parser.rs
@@ -57,7 +57,7 @@
         Ok(ParsedRequest::Rpc(IncomingRequest {
             request,
             id,
-            body: self.request.body.to_vec(),
+            body: self.request.body.to_vec().into(),
         }))
     }
 
--- a/crates/coralstep-server/src/callers/thrift.rs
+++ b/crates/coralstep-server/src/callers/thrift.rs
@@ -117,6 +117,14 @@
     }))
 }
 
+/// Returns the size in bytes of the first frame of `bytes`, with its length prefix, or `None` if its prefix is incomplete or
+/// invalid.
+pub fn stated_len(bytes: &[u8]) -> Option<usize> {
+    let prefix = bytes.first_chunk::<LENGTH_PREFIX_BYTES>()?;
+    let length = u32::from_be_bytes(*prefix) as usize;
+    (length <= MAX_FRAME_BYTES).then_some(LENGTH_PREFIX_BYTES + length)
+}
+
 struct Reader<'a>(&'a [u8]);
 
 impl<'a> Reader<'a> {
--- a/crates/coralstep-server/src/decisions/handle/tests.rs
+++ b/crates/coralstep-server/src/decisions/handle/tests.rs
@@ -39,7 +39,9 @@
     Limits {
         connections: 1,
         spare_connections: 1,
+        receive_bytes: 1 << 20,
         unread_reply_bytes: 1,
+        request_bytes: 1 << 20,
         requests: 2,
         result_bytes: 8,
         request_ids: 8,
--- a/crates/coralstep-server/src/runs/active_request.rs
+++ b/crates/coralstep-server/src/runs/active_request.rs
@@ -7,6 +7,7 @@
 
 use futures_lite::FutureExt;
 
+use crate::base::memory_budget::Reservation;
 use crate::decisions::{Decision, Progress, QuotaGuard, RequestTicket, RunOutcome};
 use crate::dependency::store::{self, CallResult, StoreCall, StoreClient};
 use crate::runs::reply::Reply;
@@ -38,6 +39,8 @@
     pub(super) quota: Option<QuotaGuard>,
     pub(super) run: Box<dyn Run>,
     pub(super) claim: IdClaim,
+    /// Memory of the request, which counts until it has ended.
+    pub(super) _memory: Reservation,
 }
 
 impl<R: FnOnce(Reply<'_>)> ActiveRequest<'_, R> {
--- a/crates/coralstep-server/src/runs/applications/attempt.rs
+++ b/crates/coralstep-server/src/runs/applications/attempt.rs
@@ -6,16 +6,20 @@
 //! | complete response with status 2xx to 4xx | ok with the body (2xx), error (3xx, 4xx) | no |
 //! | complete response with status 5xx | error | no |
 //! | any other failure after a byte was sent: connection reset, response truncated, too large, without a status, with unterminated headers or longer than its stated length | error | no |
+//! | no byte of a response for 1 s, while other responses wait for its memory | error | no |
 //! | deadline of the RPC passes | failure of the application; the attempt continues | no |
 use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use coralstep_balancer::{Attempt, AttemptOutcome};
 use coralstep_scgi::{Limits, response};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
+use crate::base::memory_budget::Reservation;
 use crate::decisions::RunOutcome;
 use crate::note;
 use crate::runs::applications::{Applications, RunInput};
@@ -25,6 +29,10 @@
 /// Limits on the headers of a response.
 const MAX_HEADERS: usize = 64;
 const MAX_HEADER_BYTES: usize = 8 * 1024;
+/// Time without input after which a response is given up while others wait for its memory.
+const STALLED_RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of times that a response is in memory: as received, as the result, and in the reply.
+const RESPONSE_COPIES: usize = 3;
 
 /// Result of an attempt.
 pub(super) enum AttemptResult {
@@ -37,7 +45,9 @@
 /// A complete response.
 struct Response {
     status: u16,
-    body: Vec<u8>,
+    body: Rc<[u8]>,
+    /// Memory of the response beyond [`READ_SIZE`].
+    memory: Option<Reservation>,
 }
 
 /// Returns the pick of an attempt to the balancer when dropped.
@@ -98,7 +108,12 @@
             }
         };
         let (end, result) = match exchanged {
-            Ok(response) => classify_response(response),
+            Ok(mut response) => {
+                if let Some(memory) = response.memory.take() {
+                    self.keep_response_memory(input.id, memory);
+                }
+                classify_response(response)
+            }
             Err(error) => {
                 note!(
                     application = %address,
@@ -133,14 +148,14 @@
         let stream = self.descriptors.dial(address).or(timeout).await?;
         let _ = stream.get_ref().set_nodelay(true);
         write_request(&stream, &input.bytes, any_sent).await?;
-        read_response(&stream, max_body_bytes).await
+        self.read_response(&stream, max_body_bytes).await
     }
 }
 
-fn classify_response(Response { status, body }: Response) -> (AttemptOutcome, AttemptResult) {
+fn classify_response(Response { status, body, .. }: Response) -> (AttemptOutcome, AttemptResult) {
     match status {
         ..300 => {
-            let outcome = RunOutcome::Ok(body.into());
+            let outcome = RunOutcome::Ok(body);
             (AttemptOutcome::Answered, AttemptResult::Outcome(outcome))
         }
         300..500 => (
@@ -181,32 +196,69 @@
     Ok(())
 }
 
-async fn read_response(
-    mut stream: &Async<TcpStream>,
-    max_body_bytes: usize,
-) -> io::Result<Response> {
-    let limits = Limits {
-        max_head_bytes: MAX_HEADER_BYTES,
-        max_headers: MAX_HEADERS,
-        max_body_bytes,
-    };
-    let (mut buffer, mut filled, mut ended) = (vec![0; READ_SIZE], 0, false);
-    loop {
-        if filled == buffer.len() {
-            // `decode` rejects responses that exceed the limits, which bounds the buffer.
-            buffer.resize(2 * filled, 0);
-        }
-        match stream.read(&mut buffer[filled..]).await? {
-            0 => ended = true,
-            count => filled += count,
-        }
-        match response::decode(&buffer[..filled], ended, &limits) {
-            Ok(Some((status, body))) => {
-                let body = body.to_vec();
-                return Ok(Response { status, body });
+impl Applications {
+    /// Reads a response. One that exceeds [`READ_SIZE`] waits unread until there is memory for all of it.
+    ///
+    /// Guards against responses of all attempts that together exceed the memory.
+    async fn read_response(
+        &self,
+        mut stream: &Async<TcpStream>,
+        max_body_bytes: usize,
+    ) -> io::Result<Response> {
+        let limits = Limits {
+            max_head_bytes: MAX_HEADER_BYTES,
+            max_headers: MAX_HEADERS,
+            max_body_bytes,
+        };
+        let (mut buffer, mut filled, mut ended) = (vec![0; READ_SIZE], 0, false);
+        let mut memory = None;
+        loop {
+            if filled == buffer.len() {
+                // `decode` rejects responses that exceed the limits, which bounds the buffer.
+                let max_len = max_response_len(&buffer, &limits).max(filled + 1);
+                memory = Some(
+                    self.response_budget
+                        .reserve(RESPONSE_COPIES * max_len)
+                        .await,
+                );
+                buffer.resize(max_len, 0);
+            }
+            let waiting_since = Instant::now();
+            let stalled = async {
+                if memory.is_none() {
+                    std::future::pending::<()>().await;
+                }
+                self.response_budget
+                    .wait_until_stalled(waiting_since, STALLED_RESPONSE_TIMEOUT)
+                    .await;
+                Err(io::ErrorKind::TimedOut.into())
+            };
+            match stream.read(&mut buffer[filled..]).or(stalled).await? {
+                0 => ended = true,
+                count => filled += count,
+            }
+            match response::decode(&buffer[..filled], ended, &limits) {
+                Ok(Some((status, body))) => {
+                    let body = body.into();
+                    return Ok(Response {
+                        status,
+                        body,
+                        memory,
+                    });
+                }
+                Ok(None) => {}
+                Err(error) => return Err(io::Error::other(error)),
             }
-            Ok(None) => {}
-            Err(error) => return Err(io::Error::other(error)),
         }
     }
 }
+
+/// Returns the maximum size in bytes of the response that begins with `bytes`, with one byte more to notice an excess.
+fn max_response_len(bytes: &[u8], limits: &Limits) -> usize {
+    let head = response::decode_head(bytes, limits).ok().flatten();
+    let (head_len, body_len) = match head {
+        Some((head, head_len)) => (head_len, head.content_length),
+        None => (limits.max_head_bytes, None),
+    };
+    head_len + body_len.unwrap_or(limits.max_body_bytes) + 1
+}
--- a/crates/coralstep-server/src/runs/applications/mod.rs
+++ b/crates/coralstep-server/src/runs/applications/mod.rs
@@ -23,6 +23,7 @@
 
 use crate::base::clock::{self, Clock};
 use crate::base::descriptors::Descriptors;
+use crate::base::memory_budget::{MemoryBudget, Reservation};
 use crate::base::request_id::RequestId;
 use crate::decisions::{BreakerStatus, RunOutcome};
 use crate::fleet::ExchangeHealth;
@@ -35,6 +36,8 @@
 struct RunState {
     events: RunEvents,
     task: Option<Task<()>>,
+    /// Memory of the response, which counts until its RPC has ended: the reply is then among the unread ones.
+    response_memory: Option<Reservation>,
 }
 
 /// Data that all attempts of one run use.
@@ -50,6 +53,7 @@
 pub struct Applications {
     executor: Rc<LocalExecutor<'static>>,
     descriptors: Rc<Descriptors>,
+    response_budget: Rc<MemoryBudget>,
     clock: Clock,
     pool: RefCell<Pool<SocketAddr>>,
     runs: RefCell<HashMap<RequestId, RunState>>,
@@ -70,11 +74,12 @@
 }
 
 impl Applications {
-    /// Creates a pool of the applications that `config` lists. `seed` initializes the balancer's
-    /// random number generator.
+    /// Creates a pool of the applications that `config` lists. Responses count towards
+    /// `response_budget`. `seed` initializes the balancer's random number generator.
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         descriptors: Rc<Descriptors>,
+        response_budget: Rc<MemoryBudget>,
         config: &ApplicationsConfig,
         seed: u64,
     ) -> Applications {
@@ -84,6 +89,7 @@
         Applications {
             executor,
             descriptors,
+            response_budget,
             clock,
             pool: RefCell::new(pool),
             runs: RefCell::default(),
@@ -129,6 +135,13 @@
         self.clock.now()
     }
 
+    /// Keeps `memory`, that of the response of the run `id`, until its RPC has ended.
+    fn keep_response_memory(&self, id: RequestId, memory: Reservation) {
+        if let Some(state) = self.runs.borrow_mut().get_mut(&id) {
+            state.response_memory = Some(memory);
+        }
+    }
+
     /// Logs each change of an application's breaker.
     fn log_breaker_changes(&self) {
         for (address, transition) in self.pool.borrow_mut().take_breaker_transitions() {
--- a/crates/coralstep-server/src/runs/request_handler/mod.rs
+++ b/crates/coralstep-server/src/runs/request_handler/mod.rs
@@ -13,7 +13,8 @@
 use coralstep_quota::QuotaExhausted;
 
 use crate::base::clock;
-use crate::base::limits::Limits;
+use crate::base::limits::{Limits, request_memory};
+use crate::base::memory_budget::{MemoryBudget, Reservation};
 use crate::base::request_id::RequestId;
 use crate::decisions::{
     AdmissionError, Decision, EarlierAttempts, QuotaGuard, RequestTicket, RpcRequest,
@@ -37,6 +38,8 @@
     DuplicateId,
     #[error("the table of request ids is full")]
     RequestIdsFull,
+    #[error("the memory for requests is exhausted")]
+    MemoryExhausted,
     #[error("a run with this id is already registered")]
     RunRegistered,
     #[error(transparent)]
@@ -51,9 +54,9 @@
             RequestError::DuplicateId
             | RequestError::RunRegistered
             | RequestError::Admission(AdmissionError::KeyConflict) => Reply::Failed,
-            RequestError::RequestIdsFull | RequestError::Admission(AdmissionError::TableFull) => {
-                reject_unless_known(0, earlier)
-            }
+            RequestError::RequestIdsFull
+            | RequestError::MemoryExhausted
+            | RequestError::Admission(AdmissionError::TableFull) => reject_unless_known(0, earlier),
             RequestError::Quota(QuotaExhausted { retry_after_ms }) => {
                 reject_unless_known(*retry_after_ms, earlier)
             }
@@ -64,6 +67,9 @@
         match self {
             RequestError::DuplicateId => note!(client: rpc_id = %id, "duplicate request id"),
             RequestError::RequestIdsFull => note!(rpc_id = %id, "request id table full"),
+            RequestError::MemoryExhausted => {
+                note!(rpc_id = %id, "memory for requests exhausted");
+            }
             RequestError::Admission(AdmissionError::TableFull) => {
                 note!(rpc_id = %id, "request table full");
             }
@@ -89,12 +95,32 @@
     }
 }
 
+/// The body of a request, as received.
+#[derive(Debug)]
+pub struct ReceivedBody {
+    /// The body.
+    pub bytes: Vec<u8>,
+    /// Memory of the receive buffer, which counts until the request is admitted.
+    pub receive_memory: Option<Reservation>,
+}
+
+impl From<Vec<u8>> for ReceivedBody {
+    fn from(bytes: Vec<u8>) -> ReceivedBody {
+        ReceivedBody {
+            bytes,
+            receive_memory: None,
+        }
+    }
+}
+
 /// Handles RPCs of all protocols.
 pub struct RequestHandler {
     scheduler: Rc<SchedulerHandle>,
     backend: Rc<dyn Backend>,
     store: StoreClient,
     request_ids: Rc<RequestIds>,
+    /// Memory of all requests that have not ended.
+    memory: Rc<MemoryBudget>,
     /// Random keys, so that the digest of a body is unpredictable.
     digest_keys: RandomState,
 }
@@ -104,6 +130,7 @@
     ticket: RequestTicket,
     quota: QuotaGuard,
     run: Box<dyn Run>,
+    memory: Reservation,
     claim: IdClaim,
     first_decision: Decision,
 }
@@ -121,6 +148,7 @@
             backend,
             store,
             request_ids: Rc::new(RequestIds::new(limits.request_ids)),
+            memory: Rc::new(MemoryBudget::new(limits.request_bytes)),
             digest_keys: RandomState::new(),
         }
     }
@@ -139,10 +167,14 @@
         &self,
         mut request: RpcRequest,
         id: RequestId,
-        body: Vec<u8>,
+        body: impl Into<ReceivedBody>,
         caller_disconnected: impl Future<Output = ()>,
         reply: impl FnOnce(Reply<'_>),
     ) {
+        let ReceivedBody {
+            bytes: body,
+            receive_memory,
+        } = body.into();
         let (method, tenant) = (request.method, request.tenant);
         let idempotency_key = request.idempotency_key.clone();
         let remaining_time = clock::duration(self.scheduler.remaining_time(&request));
@@ -150,7 +182,8 @@
         let idempotency = self.scheduler.idempotency(method);
         // Looked up before any limit is checked, since a limit must not reject a repeat.
         let earlier = self.look_up_earlier_attempts(&mut request, &body);
-        let submitted = match self.admit(request, id).await {
+        let admitted = self.admit(request, id, &body, receive_memory).await;
+        let submitted = match admitted {
             Ok(submitted) => submitted,
             Err(error) => return reply(error.reply(&earlier)),
         };
@@ -174,6 +207,7 @@
             quota: Some(submitted.quota),
             run: submitted.run,
             claim: submitted.claim,
+            _memory: submitted.memory,
         };
         active
             .serve(submitted.first_decision, pin!(caller_disconnected))
@@ -199,11 +233,17 @@
         &self,
         request: RpcRequest,
         id: RequestId,
+        body: &[u8],
+        receive_memory: Option<Reservation>,
     ) -> Result<SubmittedRpc, RequestError> {
         let claim = self
             .claim_id(&request, id)
             .inspect_err(|error| error.log(id))?;
         let id = claim.id();
+        let memory = self
+            .reserve_memory(body)
+            .inspect_err(|error| error.log(id))?;
+        drop(receive_memory);
         let run = self.register_run(id)?;
         let quota = self.acquire_quota(&request)?;
         let (ticket, first_decision) = self
@@ -214,6 +254,7 @@
             ticket,
             quota,
             run,
+            memory,
             claim,
             first_decision,
         })
@@ -236,6 +277,12 @@
         })
     }
 
+    /// Guards against bodies of open requests that together exceed the memory.
+    fn reserve_memory(&self, body: &[u8]) -> Result<Reservation, RequestError> {
+        let reservation = self.memory.try_reserve(request_memory(body.len()));
+        reservation.ok_or(RequestError::MemoryExhausted)
+    }
+
     fn register_run(&self, id: RequestId) -> Result<Box<dyn Run>, RequestError> {
         let backend = self.backend.clone();
         backend.register(id).ok_or(RequestError::RunRegistered)
--- a/crates/coralstep-server/src/runs/request_handler/tests/fixture.rs
+++ b/crates/coralstep-server/src/runs/request_handler/tests/fixture.rs
@@ -250,7 +250,9 @@
     Limits {
         connections: 1,
         spare_connections: 1,
+        receive_bytes: 1 << 20,
         unread_reply_bytes: 1,
+        request_bytes: 1 << 20,
         requests: 8,
         result_bytes: RESULT.len(),
         request_ids: 32,
--- a/crates/coralstep-server/tests/stand_ins/observers.rs
+++ b/crates/coralstep-server/tests/stand_ins/observers.rs
@@ -151,7 +151,7 @@
 /// One connection of a bad client, and what it still has to write.
 struct BadClient {
     stream: TcpStream,
-    bytes: Vec<u8>,
+    bytes: Arc<[u8]>,
     written: usize,
     reads: bool,
 }
@@ -183,11 +183,11 @@
 
 impl BadClients {
     /// Connects `count` clients; the client with index i writes `bytes(i)`.
-    pub fn start(
+    pub fn start<B: Into<Arc<[u8]>>>(
         address: SocketAddr,
         count: usize,
         pace: Pace,
-        bytes: impl Fn(usize) -> Vec<u8>,
+        bytes: impl Fn(usize) -> B,
     ) -> BadClients {
         let clients: Vec<BadClient> = (0..count)
             .filter_map(|index| {
@@ -195,7 +195,7 @@
                 stream.set_nonblocking(true).ok()?;
                 Some(BadClient {
                     stream,
-                    bytes: bytes(index),
+                    bytes: bytes(index).into(),
                     written: 0,
                     reads: pace.reads,
                 })
--- a/crates/coralstep-server/tests/stand_ins/scgi.rs
+++ b/crates/coralstep-server/tests/stand_ins/scgi.rs
@@ -114,6 +114,8 @@
     Reset(usize),
     /// Reads the request and sends nothing until the caller closes.
     Hang,
+    /// Answers with these bytes, which are no whole answer, and keeps the connection open.
+    BeginReply(&'static str),
     /// Like `Echo`, this number of milliseconds later.
     EchoAfterMs(u64),
     /// Like `Reply`, 300 ms later, so that many answers come at once.
@@ -220,6 +222,10 @@
         AppBehavior::Reply(text) | AppBehavior::ReplyLate(text) => {
             stream.write_all(text.as_bytes())
         }
+        AppBehavior::BeginReply(text) => {
+            stream.write_all(text.as_bytes())?;
+            stream.read(&mut [0]).map(|_| ())
+        }
         // Waits until the other end closes.
         _ => stream.read(&mut [0]).map(|_| ()),
     }
