Let requests of ordinary size fill the RPC table before the memory for requests

Cause: the budget of open requests was exactly the table's size at 16 KiB each, so that a request too many was rejected, and logged, for memory and not for the full table; operators look for the latter line.

The budget has one request more than the table.

--- a/crates/coralstep-server/src/base/limits.rs
+++ b/crates/coralstep-server/src/base/limits.rs
@@ -69,7 +69,8 @@
             spare_connections: spare,
             receive_bytes: memory / 8,
             unread_reply_bytes: memory / 8,
-            request_bytes: requests * REQUEST_BYTES,
+            // One more than the table has, so that requests of ordinary size fill the table first.
+            request_bytes: (requests + 1) * REQUEST_BYTES,
             requests,
             result_bytes: memory / 8,
             request_ids: (memory / 32 / REQUEST_ID_BYTES).max(MIN_REQUEST_IDS),
