Probe a gateway at its end of input only if a whole message is to be handed on

Callers saw: a gateway that half-closes behind half a message read closing before the answer to its open request, where the end was there at the read.

Half a message is not handed on, so nothing needs the probe.

--- a/crates/coralstep-server/src/callers/gateway/mod.rs
+++ b/crates/coralstep-server/src/callers/gateway/mod.rs
@@ -96,7 +96,10 @@
                 ReadOutcome::Closed | ReadOutcome::Drained => return Ok(()),
                 ReadOutcome::TimedOut => return Err(ConnectionError::TimedOut),
             }
-            self.check_caller_present(stream).await?;
+            // Half a message is not handed on, so its sender need not be probed.
+            if matches!(thrift::split_frame(buffer.bytes()), Ok(Some(_))) {
+                self.check_caller_present(stream).await?;
+            }
             let consumed = self.handle_frames(stream, buffer.bytes()).await?;
             if consumed > 0 {
                 buffer.consume(consumed);
